--- /dev/null
+++ b/cli/src/commands/status.rs
@@ -0,0 +1,181 @@
+//! `jujube status`: what is in force, and the state of every group.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::Method;
+use jujuberoad::config::FleetConfig;
+use jujuberoad::ids::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::CommandError;
+use crate::ConfigStore;
+
+/// Time within which a router must answer.
+const STATUS_LIMIT: Duration = Duration::from_secs(1);
+
+/// State of the whole fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StatusReport {
+    /// Revision of the configuration.
+    pub revision: Revision,
+    /// Routers on the agreed list.
+    pub routers: Vec<RouterStatus>,
+    /// Groups and plain endpoints.
+    pub groups: Vec<GroupStatus>,
+}
+
+/// State of one router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RouterStatus {
+    /// Name of the router.
+    pub router: String,
+    /// Availability zone in which it stands.
+    pub zone: String,
+    /// Revision in force there; nothing when it does not answer.
+    pub revision: Option<Revision>,
+    /// Whether its view is recent enough to take new work.
+    pub is_fresh: bool,
+    #[serde(skip)]
+    homes: Vec<HomeState>,
+}
+
+/// State of one group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct GroupStatus {
+    /// Name of the group.
+    pub group: String,
+    /// Availability zone in which it stands.
+    pub zone: String,
+    /// Model that it serves.
+    pub model: String,
+    /// Generation of the group.
+    pub generation: u64,
+    /// Whether it is active or draining.
+    pub intent: String,
+    /// What its home says: warm, cold, closed, or nothing.
+    pub state: Option<String>,
+    /// Its members by rank.
+    pub members: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct StatusPage {
+    revision: Revision,
+    view_is_fresh: bool,
+    homes: Vec<HomeState>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+struct HomeState {
+    target: String,
+    state: String,
+}
+
+/// Reads the state of the fleet.
+pub async fn status(store: &ConfigStore) -> Result<StatusReport, CommandError> {
+    let (record, _) = store.read().await?;
+    let config = FleetConfig::parse(&record.files).map_err(CommandError::Invalid)?;
+    let routers = router_statuses(store).await?;
+    let mut states = BTreeMap::new();
+    for home in routers.iter().flat_map(|router| &router.homes) {
+        states.insert(home.target.clone(), home.state.clone());
+    }
+    let mut groups = Vec::new();
+    for zone in config.zones.keys() {
+        let Some(placement) = store.placement(zone).await? else {
+            continue;
+        };
+        for group in placement.groups.values() {
+            groups.push(GroupStatus {
+                group: group.group.to_string(),
+                zone: zone.to_string(),
+                model: group.model.to_string(),
+                generation: group.generation,
+                intent: group.state.to_string(),
+                state: states.get(group.group.as_str()).cloned(),
+                members: group
+                    .members
+                    .iter()
+                    .map(|member| member.vm.to_string())
+                    .collect(),
+            });
+        }
+    }
+    Ok(StatusReport {
+        revision: record.revision,
+        routers,
+        groups,
+    })
+}
+
+/// Asks every router on the agreed list.
+pub(crate) async fn router_statuses(
+    store: &ConfigStore,
+) -> Result<Vec<RouterStatus>, CommandError> {
+    let list = store.routers().await?;
+    let mut statuses = Vec::new();
+    for entry in list.routers.values() {
+        let page = status_page(store, entry.http).await;
+        statuses.push(RouterStatus {
+            router: entry.router.to_string(),
+            zone: entry.zone.to_string(),
+            revision: page.as_ref().map(|page| page.revision),
+            is_fresh: page.as_ref().is_some_and(|page| page.view_is_fresh),
+            homes: page.map(|page| page.homes).unwrap_or_default(),
+        });
+    }
+    Ok(statuses)
+}
+
+async fn status_page(store: &ConfigStore, router: SocketAddr) -> Option<StatusPage> {
+    let deadline = Instant::now() + STATUS_LIMIT;
+    let asked = store
+        .pool()
+        .exchange(router, Method::GET, "/status", Bytes::new(), deadline)
+        .await;
+    asked.ok()?.decode_json().ok()
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let acting = |router: &&RouterStatus| router.revision == Some(self.revision);
+        let in_force = self.routers.iter().filter(acting).count();
+        let routers = self.routers.len();
+        writeln!(
+            f,
+            "revision {} in force at {in_force} of {routers} routers",
+            self.revision
+        )?;
+        for router in &self.routers {
+            let revision = router
+                .revision
+                .map_or("no answer".to_owned(), |rev| rev.to_string());
+            let view = if router.is_fresh { "fresh" } else { "stale" };
+            writeln!(
+                f,
+                "router {} {} revision {revision} view {view}",
+                router.router, router.zone
+            )?;
+        }
+        for group in &self.groups {
+            let state = group.state.as_deref().unwrap_or("unknown");
+            writeln!(
+                f,
+                "group {} {} {} generation {} {} {state} [{}]",
+                group.group,
+                group.zone,
+                group.model,
+                group.generation,
+                group.intent,
+                group.members.join(" ")
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/cli/src/config_store.rs
@@ -0,0 +1,125 @@
+//! The configuration in the platform's store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::config::ConfigEdit;
+use jujuberoad::config::ConfigRecord;
+use jujuberoad::ids::StoreVersion;
+use jujuberoad::membership::RouterList;
+use jujuberoad::placement::PlacementRecord;
+use jujuberoad_node::backends::HttpPlatformStore;
+use jujuberoad_node::backends::PlatformStore;
+use jujuberoad_node::backends::StoreError;
+use jujuberoad_node::http::HttpPool;
+use serde::de::DeserializeOwned;
+
+use crate::CommandError;
+
+/// Time within which the store must answer.
+const STORE_LIMIT: Duration = Duration::from_secs(2);
+/// Reads by which a write without an answer is settled.
+const SETTLE_READS: usize = 5;
+/// Pause between two such reads.
+const SETTLE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads and edits the configuration by compare-and-swap.
+pub struct ConfigStore {
+    store: Arc<dyn PlatformStore>,
+    pool: Arc<HttpPool>,
+}
+
+impl ConfigStore {
+    /// Uses the platform's store at `address`.
+    pub fn at(address: SocketAddr) -> Self {
+        let pool = HttpPool::new();
+        let store = Arc::new(HttpPlatformStore::new(Arc::clone(&pool), address));
+        Self { store, pool }
+    }
+
+    /// Returns connections for calls to routers.
+    pub(crate) fn pool(&self) -> &Arc<HttpPool> {
+        &self.pool
+    }
+
+    /// Returns the configuration and the version of its record.
+    pub async fn read(&self) -> Result<(ConfigRecord, StoreVersion), CommandError> {
+        let found = self.read_record("config").await?;
+        Ok(found.unwrap_or_default())
+    }
+
+    /// Returns the agreed list of routers.
+    pub async fn routers(&self) -> Result<RouterList, CommandError> {
+        let found = self.read_record("routers").await?;
+        Ok(found.map(|(list, _)| list).unwrap_or_default())
+    }
+
+    /// Returns the placement of an availability zone.
+    pub async fn placement(&self, zone: &str) -> Result<Option<PlacementRecord>, CommandError> {
+        let found = self.read_record(&format!("placement/{zone}")).await?;
+        Ok(found.map(|(record, _)| record))
+    }
+
+    /// Makes `edit` of the configuration in force; returns the accepted record.
+    pub async fn edit(&self, edit: &ConfigEdit) -> Result<ConfigRecord, CommandError> {
+        loop {
+            let (current, version) = self.read().await?;
+            let next = edit.apply(&current, fastrand::u64(..))?;
+            let value = serde_json::to_vec(&next).unwrap_or_default().into();
+            let deadline = Instant::now() + STORE_LIMIT;
+            match self
+                .store
+                .put("config", version, value, None, deadline)
+                .await
+            {
+                Ok(_) => return Ok(next),
+                // Another operator was faster; the edit is checked against the new record.
+                Err(StoreError::Conflict { .. }) => {}
+                Err(problem) if problem.is_in_doubt() => return self.settle(next).await,
+                Err(source) => {
+                    return Err(CommandError::Store {
+                        step: "write",
+                        source,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Finds out whether `next` was accepted although no answer came.
+    async fn settle(&self, next: ConfigRecord) -> Result<ConfigRecord, CommandError> {
+        for _ in 0..SETTLE_READS {
+            if let Ok((found, _)) = self.read().await
+                && found.nonce == next.nonce
+            {
+                return Ok(next);
+            }
+            smol::Timer::after(SETTLE_PAUSE).await;
+        }
+        Err(CommandError::InDoubt {
+            revision: next.revision,
+        })
+    }
+
+    async fn read_record<T: DeserializeOwned>(
+        &self,
+        key: &str,
+    ) -> Result<Option<(T, StoreVersion)>, CommandError> {
+        let read = self.store.get(key, Instant::now() + STORE_LIMIT).await;
+        let stored = read.map_err(|source| CommandError::Store {
+            step: "read",
+            source,
+        })?;
+        let Some(stored) = stored else {
+            return Ok(None);
+        };
+        let record =
+            serde_json::from_slice(&stored.bytes).map_err(|error| CommandError::Record {
+                key: key.to_owned(),
+                message: error.to_string(),
+            })?;
+        Ok(Some((record, stored.version)))
+    }
+}
--- /dev/null
+++ b/cli/src/force_watch.rs
@@ -0,0 +1,68 @@
+//! Waits until a revision is in force at all routers.
+
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::ids::Revision;
+use serde::Serialize;
+
+use crate::CommandError;
+use crate::ConfigStore;
+use crate::commands::router_statuses;
+
+/// Time for which routers may take to act on a revision.
+const FORCE_LIMIT: Duration = Duration::from_millis(3_000);
+/// Time between two looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
+/// How far a revision is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ForceReport {
+    /// The revision.
+    pub revision: Revision,
+    /// Routers that act on it.
+    pub in_force: usize,
+    /// Routers on the agreed list.
+    pub routers: usize,
+}
+
+impl ForceReport {
+    /// Waits until `revision` is in force at all routers, or for 3 seconds.
+    pub(crate) async fn wait(
+        store: &ConfigStore,
+        revision: Revision,
+    ) -> Result<Self, CommandError> {
+        let deadline = Instant::now() + FORCE_LIMIT;
+        loop {
+            let statuses = router_statuses(store).await?;
+            let routers = statuses.len();
+            let acting = statuses
+                .iter()
+                .filter(|status| status.revision >= Some(revision));
+            let report = Self {
+                revision,
+                in_force: acting.count(),
+                routers,
+            };
+            if report.in_force == routers || Instant::now() >= deadline {
+                return Ok(report);
+            }
+            smol::Timer::after(LOOK_PERIOD).await;
+        }
+    }
+}
+
+impl fmt::Display for ForceReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            revision,
+            in_force,
+            routers,
+        } = self;
+        write!(
+            f,
+            "revision {revision} in force at {in_force} of {routers} routers"
+        )
+    }
+}
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,31 @@
+//! The operator's command, as a library.
+//!
+//! Each command is one function that returns what it found as a value; the
+//! binary prints it as text or JSON.
+
+mod command_error;
+mod commands;
+mod config_folder;
+mod config_store;
+mod force_watch;
+
+pub use command_error::CommandError;
+pub use commands::CheckReport;
+pub use commands::DiffReport;
+pub use commands::EditReport;
+pub use commands::GroupStatus;
+pub use commands::RouterStatus;
+pub use commands::ShowReport;
+pub use commands::StatusReport;
+pub use commands::add;
+pub use commands::apply;
+pub use commands::check;
+pub use commands::diff;
+pub use commands::drain;
+pub use commands::remove;
+pub use commands::show;
+pub use commands::status;
+pub use config_folder::read_file;
+pub use config_folder::read_folder;
+pub use config_store::ConfigStore;
+pub use force_watch::ForceReport;
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,167 @@
+//! `jujube`: the operator's command.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use jujube::CommandError;
+use jujube::ConfigStore;
+use jujuberoad_node::runtime;
+use serde::Serialize;
+
+/// Operates a jujuberoad fleet through a folder of small INI files.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} check examples/valverde",
+    example = "{command_name} --store 10.0.0.5:7000 add 90-limpieza-norte.ini",
+    example = "{command_name} --store 10.0.0.5:7000 status --json",
+    error_code(1, "The files or the change are refused; nothing changed."),
+    error_code(2, "The platform's store cannot be reached; nothing changed."),
+    error_code(3, "No answer came; the change may have been accepted.")
+)]
+struct JujubeArgs {
+    /// address of the platform's store (default: 127.0.0.1:7000)
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7000))")]
+    store: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(CheckArgs),
+    Diff(DiffArgs),
+    Apply(ApplyArgs),
+    Add(AddArgs),
+    Remove(RemoveArgs),
+    Drain(DrainArgs),
+    Show(ShowArgs),
+    Status(StatusArgs),
+}
+
+/// Check a folder of configuration files; touches nothing.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// folder of INI files
+    #[argh(positional)]
+    folder: PathBuf,
+}
+
+/// Compare a folder with the configuration in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+struct DiffArgs {
+    /// folder of INI files
+    #[argh(positional)]
+    folder: PathBuf,
+}
+
+/// Put a whole folder into force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "apply")]
+struct ApplyArgs {
+    /// folder of INI files
+    #[argh(positional)]
+    folder: PathBuf,
+    /// refuse if another revision than this one is in force
+    #[argh(option)]
+    base: Option<u64>,
+}
+
+/// Add one file to the configuration in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "add")]
+struct AddArgs {
+    /// the file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Remove one file from the configuration in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "remove")]
+struct RemoveArgs {
+    /// name of the file
+    #[argh(positional)]
+    name: String,
+}
+
+/// Take a zone, VM or endpoint out of service; `jujube remove` brings it back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainArgs {
+    /// zone, vm or endpoint
+    #[argh(positional, from_str_fn(drain_kind))]
+    kind: String,
+    /// its name
+    #[argh(positional)]
+    name: String,
+}
+
+/// Print the configuration in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+struct ShowArgs {}
+
+/// Print what is in force and the state of every group.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusArgs {}
+
+fn drain_kind(text: &str) -> Result<String, String> {
+    match text {
+        "zone" | "vm" | "endpoint" => Ok(text.to_owned()),
+        _ => Err(format!("{text:?}: expected zone, vm or endpoint")),
+    }
+}
+
+fn main() -> ExitCode {
+    let args: JujubeArgs = argh::from_env();
+    let printed = runtime::run(1, run(&args));
+    match printed {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run(args: &JujubeArgs) -> Result<String, CommandError> {
+    let store = ConfigStore::at(args.store);
+    let json = args.json;
+    match &args.command {
+        Command::Check(check) => jujube::check(&check.folder).map(|report| text(&report, json)),
+        Command::Diff(diff) => Ok(text(&jujube::diff(&store, &diff.folder).await?, json)),
+        Command::Apply(apply) => Ok(text(
+            &jujube::apply(&store, &apply.folder, apply.base).await?,
+            json,
+        )),
+        Command::Add(add) => Ok(text(&jujube::add(&store, &add.file).await?, json)),
+        Command::Remove(remove) => Ok(text(&jujube::remove(&store, &remove.name).await?, json)),
+        Command::Drain(drain) => Ok(text(
+            &jujube::drain(&store, &drain.kind, &drain.name).await?,
+            json,
+        )),
+        Command::Show(_) => Ok(text(&jujube::show(&store).await?, json)),
+        Command::Status(_) => Ok(text(&jujube::status(&store).await?, json)),
+    }
+}
+
+fn text<R: Display + Serialize>(report: &R, json: bool) -> String {
+    if !json {
+        return report.to_string();
+    }
+    let json = serde_json::to_string_pretty(report).unwrap_or_default();
+    format!("{json}\n")
+}
--- /dev/null
+++ b/lab/src/commands/demo.rs
@@ -0,0 +1,53 @@
+//! `jujube-lab demo`: a zone leaves and returns under load.
+
+use std::time::Duration;
+
+use jujuberoad_node::runtime;
+use smol::channel;
+
+use super::LabOptions;
+use super::load;
+use crate::fleet::FleetError;
+use crate::fleet::LabFleet;
+use crate::load::LoadPlan;
+use crate::load::LoadReport;
+
+/// Length of the load, in milliseconds.
+const LOAD_MS: u64 = 20_000;
+/// Time under load before the zone leaves, and again before it returns.
+const STEP: Duration = Duration::from_secs(6);
+
+/// Brings up a fleet, sends a load, takes a zone out and back by one small
+/// file, and returns what callers saw.
+pub async fn demo(options: &LabOptions, rate: u64) -> Result<LoadReport, FleetError> {
+    let files = jujube::read_folder(&options.config)?;
+    let fleet = LabFleet::start(files, options.routers, options.timing, &options.dir).await?;
+    println!(
+        "fleet: {} stand-in VMs, {} routers",
+        fleet.world.config.vms.len(),
+        fleet.nodes.len()
+    );
+    fleet.wait_ready().await?;
+    println!("{}", jujube::status(&fleet.store).await?);
+    let plan = LoadPlan::mixed(&fleet.world.config, fleet.router_addresses(), rate, LOAD_MS);
+    let history = options.dir.join("history.jsonl");
+    let (sender, receiver) = channel::bounded(1);
+    runtime::spawn(async move {
+        let _ = sender.send(load(plan, Some(&history)).await).await;
+    });
+    let Some(zone) = fleet.world.config.zones.keys().next().cloned() else {
+        return Err(FleetError::NotReady(
+            "the configuration has no zone".to_owned(),
+        ));
+    };
+    smol::Timer::after(STEP).await;
+    print!("{}", jujube::drain(&fleet.store, "zone", &zone).await?);
+    smol::Timer::after(STEP).await;
+    let file = format!("90-drain-zone-{zone}.ini");
+    print!("{}", jujube::remove(&fleet.store, &file).await?);
+    let report = receiver.recv().await;
+    let report = report.map_err(|_| FleetError::NotReady("the load ended early".to_owned()))??;
+    println!("\nwhat callers saw:\n{report}");
+    println!("{}", jujube::status(&fleet.store).await?);
+    Ok(report)
+}
--- /dev/null
+++ b/lab/src/fleet/fleet_world.rs
@@ -0,0 +1,129 @@
+//! The stand-ins for one configuration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use jujuberoad::config::FleetConfig;
+use smol_str::SmolStr;
+
+use super::FleetError;
+use crate::standins::AdminHandler;
+use crate::standins::EngineHandler;
+use crate::standins::EngineState;
+use crate::standins::EngineTiming;
+use crate::standins::EngineWorld;
+use crate::standins::KvState;
+use crate::standins::LabServer;
+use crate::standins::PlatformHandler;
+use crate::standins::ServiceHandler;
+use crate::standins::ServiceLog;
+
+/// Platform, engines and services, all on loopback addresses.
+pub struct FleetWorld {
+    /// The files, with the addresses at which the stand-ins answer.
+    pub files: BTreeMap<SmolStr, String>,
+    /// The checked configuration.
+    pub config: FleetConfig,
+    /// State of the key-value service.
+    pub kv: Arc<Mutex<KvState>>,
+    /// The VMs.
+    pub world: Arc<EngineWorld>,
+    /// Runs of the plain services.
+    pub services: Arc<Mutex<ServiceLog>>,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Address for faults and counters.
+    pub admin: SocketAddr,
+    servers: Vec<Arc<LabServer>>,
+}
+
+impl FleetWorld {
+    /// Starts a stand-in for everything that `files` declare.
+    pub async fn start(
+        files: BTreeMap<SmolStr, String>,
+        timing: EngineTiming,
+    ) -> Result<Self, FleetError> {
+        let config = FleetConfig::parse(&files).map_err(jujube::CommandError::Invalid)?;
+        let kv = Arc::new(Mutex::new(KvState::default()));
+        let world = Arc::new(EngineWorld::default());
+        let services = Arc::new(Mutex::new(ServiceLog::default()));
+        let mut moved = BTreeMap::new();
+        let mut servers = Vec::new();
+        let slots = config
+            .models
+            .values()
+            .map(|model| model.slots)
+            .max()
+            .unwrap_or(1);
+        for vm in config.vms.values() {
+            let engine = EngineState::new(vm.vm.clone(), vm.checks_fence, timing);
+            let engine = Arc::new(Mutex::new(engine));
+            world.insert(Arc::clone(&engine));
+            let handler = EngineHandler::new(engine, Arc::clone(&world), slots);
+            let server = start(handler).await?;
+            moved.insert(vm.address, server.address());
+            world.set_server(vm.vm.clone(), server);
+        }
+        for endpoint in config.endpoints.values() {
+            let log = Arc::clone(&services);
+            let server = start(ServiceHandler::new(endpoint.endpoint.clone(), log)).await?;
+            moved.insert(endpoint.address, server.address());
+            servers.push(server);
+        }
+        let platform = start(PlatformHandler::new(Arc::clone(&kv), Arc::clone(&world))).await?;
+        let admin = AdminHandler::new(Arc::clone(&kv), Arc::clone(&world), Arc::clone(&services));
+        let admin = start(admin).await?;
+        let (platform_address, admin_address) = (platform.address(), admin.address());
+        servers.extend([platform, admin]);
+        let files = move_addresses(files, &moved);
+        let config = FleetConfig::parse(&files).map_err(jujube::CommandError::Invalid)?;
+        Ok(Self {
+            files,
+            config,
+            kv,
+            world,
+            services,
+            platform: platform_address,
+            admin: admin_address,
+            servers,
+        })
+    }
+
+    /// Returns how many sockets beside those of the VMs are served.
+    pub fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+}
+
+async fn start(
+    handler: Arc<dyn jujuberoad_node::http::HttpHandler>,
+) -> Result<Arc<LabServer>, FleetError> {
+    LabServer::start(handler)
+        .await
+        .map_err(FleetError::io("starting a stand-in"))
+}
+
+/// Replaces the address in each `address` line by that of its stand-in.
+fn move_addresses(
+    files: BTreeMap<SmolStr, String>,
+    moved: &BTreeMap<SocketAddr, SocketAddr>,
+) -> BTreeMap<SmolStr, String> {
+    let mut result = BTreeMap::new();
+    for (name, text) in files {
+        let mut lines = Vec::new();
+        for line in text.lines() {
+            let value = line
+                .split_once('=')
+                .filter(|(key, _)| key.trim() == "address");
+            let address = value.and_then(|(_, value)| value.trim().parse::<SocketAddr>().ok());
+            match address.and_then(|address| moved.get(&address)) {
+                Some(address) => lines.push(format!("address = {address}")),
+                None => lines.push(line.to_owned()),
+            }
+        }
+        result.insert(name, lines.join("\n") + "\n");
+    }
+    result
+}
--- /dev/null
+++ b/lab/src/fleet/lab_fleet.rs
@@ -0,0 +1,202 @@
+//! A fleet of stand-ins, routers and placers.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujube::ConfigStore;
+use jujuberoad::ids::Revision;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use super::FleetError;
+use super::FleetProcesses;
+use super::FleetWorld;
+use super::NodeAddresses;
+use crate::standins::EngineTiming;
+
+/// Time within which all groups must serve.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+/// Time between two looks at whether they do.
+const READY_TICK: Duration = Duration::from_millis(100);
+
+/// A running fleet; dropping it ends all its processes.
+pub struct LabFleet {
+    /// The stand-ins.
+    pub world: FleetWorld,
+    /// The daemons.
+    pub processes: FleetProcesses,
+    /// The entry VMs.
+    pub nodes: Vec<NodeAddresses>,
+    /// The configuration in the platform's store.
+    pub store: ConfigStore,
+    folder: PathBuf,
+}
+
+impl LabFleet {
+    /// Brings up stand-ins for `files` and `routers` entry VMs, and applies the
+    /// files; settings and logs go to `folder`.
+    pub async fn start(
+        files: BTreeMap<SmolStr, String>,
+        routers: usize,
+        timing: EngineTiming,
+        folder: &Path,
+    ) -> Result<Self, FleetError> {
+        std::fs::create_dir_all(folder).map_err(FleetError::io("creating the folder"))?;
+        let world = FleetWorld::start(files, timing).await?;
+        let zones: Vec<SmolStr> = world.config.zones.keys().cloned().collect();
+        let mut nodes = Vec::new();
+        let mut processes = FleetProcesses::default();
+        for index in 0..routers {
+            let zone = zones[index % zones.len()].clone();
+            let node = write_settings(folder, index, zone, world.platform)?;
+            let log = folder.join(format!("{}.log", node.id));
+            processes.start("jujube-router", &node, &log)?;
+            processes.start("jujube-placer", &node, &log)?;
+            nodes.push(node);
+        }
+        let store = ConfigStore::at(world.platform);
+        let config_folder = folder.join("config");
+        std::fs::create_dir_all(&config_folder).map_err(FleetError::io("creating a folder"))?;
+        for (name, text) in &world.files {
+            std::fs::write(config_folder.join(name.as_str()), text)
+                .map_err(FleetError::io("writing the configuration"))?;
+        }
+        let fleet = Self {
+            world,
+            processes,
+            nodes,
+            store,
+            folder: folder.to_owned(),
+        };
+        fleet.wait_for_routers(routers).await?;
+        jujube::apply(&fleet.store, &config_folder, Some(0)).await?;
+        Ok(fleet)
+    }
+
+    /// Waits until as many groups as declared are warm at their homes and all
+    /// routers act on the newest revision.
+    pub async fn wait_ready(&self) -> Result<(), FleetError> {
+        let wanted: u64 = self
+            .world
+            .config
+            .models
+            .values()
+            .map(|model| model.groups)
+            .sum();
+        self.wait_for_groups(wanted as usize).await
+    }
+
+    /// Waits until `count` groups are warm at their homes.
+    pub async fn wait_for_groups(&self, count: usize) -> Result<(), FleetError> {
+        let give_up_at = Instant::now() + READY_LIMIT;
+        loop {
+            let status = jujube::status(&self.store).await?;
+            let is_warm = |state: &Option<String>| state.as_deref() == Some("warm");
+            let warm = status
+                .groups
+                .iter()
+                .filter(|group| is_warm(&group.state))
+                .count();
+            let acting = |revision: Option<Revision>| revision == Some(status.revision);
+            let all_act = status.routers.iter().all(|router| acting(router.revision));
+            if warm >= count && all_act {
+                return Ok(());
+            }
+            if Instant::now() >= give_up_at {
+                return Err(FleetError::NotReady(status.to_string()));
+            }
+            smol::Timer::after(READY_TICK).await;
+        }
+    }
+
+    /// Starts the router of an entry VM again.
+    pub fn restart_router(&mut self, node: usize) -> Result<(), FleetError> {
+        let node = &self.nodes[node];
+        let log = self.folder.join(format!("{}.log", node.id));
+        self.processes.start("jujube-router", node, &log)
+    }
+
+    /// Writes all addresses and process ids to `fleet.ini`.
+    pub fn write_addresses(&self) -> Result<PathBuf, FleetError> {
+        let mut text = String::new();
+        let _ = writeln!(text, "[platform]\naddress = {}", self.world.platform);
+        let _ = writeln!(text, "\n[admin]\naddress = {}", self.world.admin);
+        for node in &self.nodes {
+            let _ = writeln!(text, "\n[router {}]", node.id);
+            let _ = writeln!(
+                text,
+                "zone = {}\nhttp = {}\npeer = {}",
+                node.zone, node.http, node.peer
+            );
+        }
+        for (name, id) in self.processes.ids() {
+            let _ = writeln!(text, "\n[process {name}]\nid = {id}");
+        }
+        let path = self.folder.join("fleet.ini");
+        std::fs::write(&path, text).map_err(FleetError::io("writing fleet.ini"))?;
+        Ok(path)
+    }
+
+    /// Returns the addresses for callers.
+    pub fn router_addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.http).collect()
+    }
+
+    async fn wait_for_routers(&self, count: usize) -> Result<(), FleetError> {
+        let give_up_at = Instant::now() + READY_LIMIT;
+        while self.store.routers().await?.routers.len() < count {
+            if Instant::now() >= give_up_at {
+                return Err(FleetError::NotReady(
+                    "routers have not joined the list".to_owned(),
+                ));
+            }
+            smol::Timer::after(READY_TICK).await;
+        }
+        Ok(())
+    }
+}
+
+fn write_settings(
+    folder: &Path,
+    index: usize,
+    zone: SmolStr,
+    platform: SocketAddr,
+) -> Result<NodeAddresses, FleetError> {
+    let id = format_smolstr!("router-{}", index + 1);
+    let http = free_tcp_address()?;
+    let peer = free_udp_address()?;
+    let settings = folder.join(format!("{id}.ini"));
+    let text = format!(
+        "[process]\nid = {id}\nzone = {zone}\n\n[listen]\nhttp = {http}\npeer = {peer}\n\n\
+         [platform]\naddress = {platform}\n"
+    );
+    std::fs::write(&settings, text).map_err(FleetError::io("writing settings"))?;
+    Ok(NodeAddresses {
+        id,
+        zone,
+        http,
+        peer,
+        settings,
+    })
+}
+
+fn free_tcp_address() -> Result<SocketAddr, FleetError> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(FleetError::io("finding a port"))?;
+    listener
+        .local_addr()
+        .map_err(FleetError::io("finding a port"))
+}
+
+fn free_udp_address() -> Result<SocketAddr, FleetError> {
+    let socket = UdpSocket::bind("127.0.0.1:0").map_err(FleetError::io("finding a port"))?;
+    socket
+        .local_addr()
+        .map_err(FleetError::io("finding a port"))
+}
--- /dev/null
+++ b/lab/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! A whole fleet on one machine: stand-ins in this process, daemons beside it.
+
+mod fleet_error;
+mod fleet_processes;
+mod fleet_world;
+mod lab_fleet;
+
+pub use fleet_error::FleetError;
+pub use fleet_processes::FleetProcesses;
+pub use fleet_processes::NodeAddresses;
+pub use fleet_world::FleetWorld;
+pub use lab_fleet::LabFleet;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,164 @@
+//! `jujube-lab`: stand-ins, load tool and demo. For tests and trials only.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use jujube_lab::commands;
+use jujube_lab::commands::LabOptions;
+use jujube_lab::fleet::FleetError;
+use jujube_lab::load::LoadPlan;
+use jujube_lab::standins::EngineTiming;
+use jujuberoad::config::FleetConfig;
+use jujuberoad_node::runtime;
+
+/// Threads of the stand-ins.
+const THREADS: u64 = 3;
+
+/// Stand-ins, load tool and demo of jujuberoad, for tests and trials only.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} demo",
+    example = "{command_name} demo --config examples/teranga --rate 200",
+    example = "{command_name} up --dir /tmp/fleet"
+)]
+struct LabArgs {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(DemoArgs),
+    Up(UpArgs),
+    Load(LoadArgs),
+}
+
+/// Bring up a fleet, send a load, take a zone out and back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {
+    /// folder of configuration files (default: examples/valverde)
+    #[argh(option, default = "PathBuf::from(\"examples/valverde\")")]
+    config: PathBuf,
+    /// folder for settings and logs (default: target/lab)
+    #[argh(option, default = "PathBuf::from(\"target/lab\")")]
+    dir: PathBuf,
+    /// calls a second (default: 100)
+    #[argh(option, default = "100")]
+    rate: u64,
+}
+
+/// Bring up a fleet until standard input closes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "up")]
+struct UpArgs {
+    /// folder of configuration files (default: examples/small)
+    #[argh(option, default = "PathBuf::from(\"examples/small\")")]
+    config: PathBuf,
+    /// folder for settings, logs and fleet.ini
+    #[argh(option)]
+    dir: PathBuf,
+    /// number of entry VMs (default: 4)
+    #[argh(option, default = "4")]
+    routers: usize,
+}
+
+/// Send a mixed load to routers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadArgs {
+    /// folder of configuration files, for teams, models and services
+    #[argh(option, default = "PathBuf::from(\"examples/small\")")]
+    config: PathBuf,
+    /// address of a router; may be given several times
+    #[argh(option)]
+    router: Vec<SocketAddr>,
+    /// calls a second (default: 100)
+    #[argh(option, default = "100")]
+    rate: u64,
+    /// length in seconds (default: 10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// tokens of each answer (default: 16)
+    #[argh(option, default = "16")]
+    tokens: u64,
+    /// share of streams in percent (default: 60)
+    #[argh(option, default = "60")]
+    streams: u64,
+    /// share of entries in percent (default: 15)
+    #[argh(option, default = "15")]
+    entries: u64,
+    /// seed of all choices (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// file for the history of every request, one JSON object a line
+    #[argh(option)]
+    history: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Speed of the engines in trials by hand.
+const TIMING: EngineTiming = EngineTiming {
+    load_ms: 1_000,
+    warm_ms: 2_000,
+    prefill_ms: 40,
+    token_ms: 8,
+};
+
+fn main() -> ExitCode {
+    let args: LabArgs = argh::from_env();
+    match runtime::run(THREADS, run(args.command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), FleetError> {
+    match command {
+        Command::Demo(demo) => {
+            let options = LabOptions {
+                config: demo.config,
+                dir: demo.dir,
+                routers: 4,
+                timing: TIMING,
+            };
+            commands::demo(&options, demo.rate).await.map(|_| ())
+        }
+        Command::Up(up) => {
+            let options = LabOptions {
+                config: up.config,
+                dir: up.dir,
+                routers: up.routers,
+                timing: TIMING,
+            };
+            commands::up(&options).await
+        }
+        Command::Load(load) => {
+            let files = jujube::read_folder(&load.config)?;
+            let config = FleetConfig::parse(&files).map_err(jujube::CommandError::Invalid)?;
+            let mut plan = LoadPlan::mixed(&config, load.router, load.rate, load.seconds * 1_000);
+            plan.tokens = load.tokens;
+            plan.stream_percent = load.streams;
+            plan.entry_percent = load.entries;
+            plan.seed = load.seed;
+            let report = commands::load(plan, load.history.as_deref()).await?;
+            if load.json {
+                println!(
+                    "{}",
+                    serde_json::to_string_pretty(&report).unwrap_or_default()
+                );
+            } else {
+                print!("{report}");
+            }
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/standins/engine_state.rs
@@ -0,0 +1,175 @@
+//! One VM with its engine.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::health::EnginePhase;
+use jujuberoad::health::MemberReport;
+use jujuberoad::ids::VmId;
+use jujuberoad::placement::EngineOrder;
+use serde::Serialize;
+
+/// Prompt prefixes that an engine remembers.
+const PREFIX_CACHE: usize = 64;
+
+/// How long engines take, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineTiming {
+    /// To load a model.
+    pub load_ms: u64,
+    /// From loaded to warm.
+    pub warm_ms: u64,
+    /// To the first token of a prompt whose prefix is not cached.
+    pub prefill_ms: u64,
+    /// Between two tokens of a group that serves one request.
+    pub token_ms: u64,
+}
+
+/// State of a VM.
+#[derive(Debug)]
+pub struct EngineState {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Whether it refuses orders with an old fence.
+    pub checks_fence: bool,
+    /// Whether it answers at all.
+    pub is_alive: bool,
+    /// Whether it is frozen: connections stay open, nothing moves.
+    pub is_frozen: bool,
+    /// Whether the platform's list calls it leaving.
+    pub is_leaving: bool,
+    /// The order that it follows.
+    pub order: EngineOrder,
+    /// What the engine itself has seen.
+    pub counts: EngineCounts,
+    timing: EngineTiming,
+    incarnation: u64,
+    loaded_at: Option<Instant>,
+    warm_at: Option<Instant>,
+    prefixes: VecDeque<String>,
+}
+
+/// Counters of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct EngineCounts {
+    /// Requests in progress.
+    pub in_flight: u64,
+    /// Requests begun.
+    pub begun: u64,
+    /// Most requests in progress in cold start.
+    pub cold_peak: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Prompts whose prefix was cached.
+    pub prefix_hits: u64,
+}
+
+impl EngineState {
+    /// Returns a VM that has just started.
+    pub fn new(vm: VmId, checks_fence: bool, timing: EngineTiming) -> Self {
+        Self {
+            vm,
+            checks_fence,
+            is_alive: true,
+            is_frozen: false,
+            is_leaving: false,
+            order: EngineOrder::default(),
+            counts: EngineCounts::default(),
+            timing,
+            incarnation: fastrand::u64(1..),
+            loaded_at: None,
+            warm_at: None,
+            prefixes: VecDeque::new(),
+        }
+    }
+
+    /// Starts the engine anew, with nothing loaded.
+    pub fn restart(&mut self) {
+        let fresh = Self::new(self.vm.clone(), self.checks_fence, self.timing);
+        *self = fresh;
+    }
+
+    /// Turns a warm engine cold without warning.
+    pub fn turn_cold(&mut self, now: Instant) {
+        self.counts.cold_peak = 0;
+        self.warm_at = Some(now + Duration::from_millis(self.timing.warm_ms));
+    }
+
+    /// Takes an order; returns false when its fence is too old.
+    pub fn take_order(&mut self, order: EngineOrder, now: Instant) -> bool {
+        if self.checks_fence && order.fence < self.order.fence {
+            return false;
+        }
+        let is_same_model = order.model == self.order.model && order.version == self.order.version;
+        if order.group.is_empty() {
+            self.loaded_at = None;
+            self.warm_at = None;
+        } else if !is_same_model || self.loaded_at.is_none() {
+            let loaded_at = now + Duration::from_millis(self.timing.load_ms);
+            self.loaded_at = Some(loaded_at);
+            self.warm_at = Some(loaded_at + Duration::from_millis(self.timing.warm_ms));
+        }
+        self.order = order;
+        true
+    }
+
+    /// Returns the phase at `now`.
+    pub fn phase(&self, now: Instant) -> EnginePhase {
+        match (self.loaded_at, self.warm_at) {
+            (None, _) | (_, None) => EnginePhase::Idle,
+            (Some(loaded_at), _) if now < loaded_at => EnginePhase::Loading,
+            (_, Some(warm_at)) if now < warm_at => EnginePhase::Cold,
+            _ => EnginePhase::Warm,
+        }
+    }
+
+    /// Returns the report at `now`.
+    pub fn report(&self, now: Instant) -> MemberReport {
+        MemberReport {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            group: self.order.group.clone(),
+            generation: self.order.generation,
+            model: self.order.model.clone(),
+            version: self.order.version.clone(),
+            phase: self.phase(now),
+            in_flight: self.counts.in_flight,
+            fence: self.order.fence,
+        }
+    }
+
+    /// Begins a request.
+    pub fn begin(&mut self, now: Instant) {
+        self.counts.in_flight += 1;
+        self.counts.begun += 1;
+        if self.phase(now) == EnginePhase::Cold {
+            self.counts.cold_peak = self.counts.cold_peak.max(self.counts.in_flight);
+        }
+    }
+
+    /// Ends a request.
+    pub fn end(&mut self) {
+        self.counts.in_flight = self.counts.in_flight.saturating_sub(1);
+    }
+
+    /// Returns the time to the first token, and caches the prefix of the prompt.
+    pub fn prefill(&mut self, prompt: &str) -> Duration {
+        let prefix: String = prompt.chars().take(256).collect();
+        if self.prefixes.contains(&prefix) {
+            self.counts.prefix_hits += 1;
+            return Duration::from_millis(self.timing.prefill_ms / 4);
+        }
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > PREFIX_CACHE {
+            self.prefixes.pop_front();
+        }
+        Duration::from_millis(self.timing.prefill_ms)
+    }
+
+    /// Returns the time to the next token; it grows with the load.
+    pub fn token_pause(&self, slots: u64) -> Duration {
+        let load = 1.0 + self.counts.in_flight as f64 / slots.max(1) as f64;
+        Duration::from_secs_f64(self.timing.token_ms as f64 * load / 1_000.0)
+    }
+}
--- /dev/null
+++ b/lab/src/standins/http_text.rs
@@ -0,0 +1,43 @@
+//! Short answers and query strings.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use jujuberoad_node::http::ReplyBody;
+use jujuberoad_node::http::full_body;
+use serde::Serialize;
+
+/// Returns an answer with a text.
+pub(super) fn text(status: StatusCode, body: &str) -> Response<ReplyBody> {
+    let mut response = Response::new(full_body(body.to_owned()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns an answer with a JSON value.
+pub(super) fn json<T: Serialize>(value: &T) -> Response<ReplyBody> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    Response::new(full_body(body))
+}
+
+/// Returns the number that a query string gives for `name`.
+pub(super) fn query_number(query: Option<&str>, name: &str) -> Option<u64> {
+    for pair in query?.split('&') {
+        if let Some((key, value)) = pair.split_once('=')
+            && key == name
+        {
+            return value.parse().ok();
+        }
+    }
+    None
+}
+
+/// Reads the whole body of a request; a body that breaks off counts as empty.
+pub(super) async fn body_bytes(body: Incoming) -> Bytes {
+    body.collect()
+        .await
+        .map(|body| body.to_bytes())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/lab/src/standins/kv_state.rs
@@ -0,0 +1,145 @@
+//! The state of the stand-in for the platform's key-value service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+
+/// Why a write is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KvRefusal {
+    /// The key holds this version.
+    Conflict(u64),
+    /// The lease has lapsed.
+    NoLease,
+}
+
+/// Keys with versions, and leases.
+#[derive(Debug, Default)]
+pub struct KvState {
+    values: BTreeMap<String, KvValue>,
+    leases: BTreeMap<u64, KvLease>,
+    next_version: u64,
+    next_lease: u64,
+    /// Calls by kind since the start.
+    pub calls: BTreeMap<&'static str, u64>,
+    /// Until when all calls are refused.
+    pub out_until: Option<Instant>,
+    /// Writes that are to take effect without an answer.
+    pub lost_answers: u64,
+    /// Delay of each answer, in milliseconds.
+    pub delay_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct KvValue {
+    version: u64,
+    bytes: Bytes,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct KvLease {
+    ttl_ms: u64,
+    ends_at: Instant,
+}
+
+impl KvState {
+    /// Tells whether the service is out at `now`.
+    pub fn is_out(&self, now: Instant) -> bool {
+        self.out_until.is_some_and(|until| now < until)
+    }
+
+    /// Counts a call.
+    pub fn count(&mut self, kind: &'static str) {
+        *self.calls.entry(kind).or_default() += 1;
+    }
+
+    /// Reads a key.
+    pub fn get(&mut self, key: &str, now: Instant) -> Option<(u64, Bytes)> {
+        self.expire(now);
+        self.values
+            .get(key)
+            .map(|value| (value.version, value.bytes.clone()))
+    }
+
+    /// Returns the keys that start with `prefix`.
+    pub fn list(&mut self, prefix: &str, now: Instant) -> Vec<String> {
+        self.expire(now);
+        self.values
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Writes a key that holds version `expected`.
+    pub fn put(
+        &mut self,
+        key: &str,
+        expected: u64,
+        bytes: Bytes,
+        lease: Option<u64>,
+        now: Instant,
+    ) -> Result<u64, KvRefusal> {
+        self.check(key, expected, now)?;
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(KvRefusal::NoLease);
+        }
+        self.next_version += 1;
+        let version = self.next_version;
+        self.values.insert(
+            key.to_owned(),
+            KvValue {
+                version,
+                bytes,
+                lease,
+            },
+        );
+        Ok(version)
+    }
+
+    /// Deletes a key that holds version `expected`.
+    pub fn delete(&mut self, key: &str, expected: u64, now: Instant) -> Result<(), KvRefusal> {
+        self.check(key, expected, now)?;
+        self.values.remove(key);
+        Ok(())
+    }
+
+    /// Opens a lease.
+    pub fn open_lease(&mut self, ttl_ms: u64, now: Instant) -> u64 {
+        self.next_lease += 1;
+        let ends_at = now + Duration::from_millis(ttl_ms);
+        self.leases
+            .insert(self.next_lease, KvLease { ttl_ms, ends_at });
+        self.next_lease
+    }
+
+    /// Renews a lease; returns false when it has lapsed.
+    pub fn renew_lease(&mut self, lease: u64, now: Instant) -> bool {
+        self.expire(now);
+        let Some(lease) = self.leases.get_mut(&lease) else {
+            return false;
+        };
+        lease.ends_at = now + Duration::from_millis(lease.ttl_ms);
+        true
+    }
+
+    fn check(&mut self, key: &str, expected: u64, now: Instant) -> Result<(), KvRefusal> {
+        self.expire(now);
+        let found = self.values.get(key).map_or(0, |value| value.version);
+        if found == expected {
+            Ok(())
+        } else {
+            Err(KvRefusal::Conflict(found))
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.leases.retain(|_, lease| now < lease.ends_at);
+        let leases = &self.leases;
+        self.values
+            .retain(|_, value| value.lease.is_none_or(|lease| leases.contains_key(&lease)));
+    }
+}
--- /dev/null
+++ b/lab/src/standins/lab_server.rs
@@ -0,0 +1,60 @@
+//! A listening socket of a stand-in that can go down and come back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use jujuberoad_node::http::HttpHandler;
+use jujuberoad_node::http::HttpServer;
+use jujuberoad_node::runtime;
+use jujuberoad_node::runtime::StopSignal;
+use jujuberoad_node::runtime::StopTrigger;
+use smol::net::TcpListener;
+
+/// Serves a handler at a fixed address while it is up.
+pub struct LabServer {
+    address: SocketAddr,
+    handler: Arc<dyn HttpHandler>,
+    running: Mutex<Option<StopTrigger>>,
+}
+
+impl LabServer {
+    /// Binds to a free port of the loopback address and starts to serve.
+    pub async fn start(handler: Arc<dyn HttpHandler>) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let server = Arc::new(Self {
+            address,
+            handler,
+            running: Mutex::default(),
+        });
+        server.serve(listener);
+        Ok(server)
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops to accept connections; new ones are refused.
+    pub fn go_down(&self) {
+        self.running.lock().expect("server lock").take();
+    }
+
+    /// Accepts connections again.
+    pub async fn come_back(self: &Arc<Self>) -> std::io::Result<()> {
+        if self.running.lock().expect("server lock").is_some() {
+            return Ok(());
+        }
+        let listener = TcpListener::bind(self.address).await?;
+        self.serve(listener);
+        Ok(())
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let (trigger, stop) = StopSignal::new();
+        *self.running.lock().expect("server lock") = Some(trigger);
+        runtime::spawn(HttpServer::new(listener, Arc::clone(&self.handler)).run(stop));
+    }
+}
--- /dev/null
+++ b/lab/src/standins/mod.rs
@@ -0,0 +1,27 @@
+//! Small stand-ins for the platform, the engines and the plain services.
+
+mod admin_handler;
+mod engine_handler;
+mod engine_state;
+mod engine_world;
+mod fault_order;
+mod http_text;
+mod kv_state;
+mod lab_server;
+mod platform_handler;
+mod service_handler;
+mod token_text;
+
+pub use admin_handler::AdminHandler;
+pub use engine_handler::EngineHandler;
+pub use engine_state::EngineState;
+pub use engine_state::EngineTiming;
+pub use engine_world::EngineWorld;
+pub use fault_order::FaultKind;
+pub use fault_order::FaultOrder;
+pub use kv_state::KvState;
+pub use lab_server::LabServer;
+pub use platform_handler::PlatformHandler;
+pub use service_handler::ServiceHandler;
+pub use service_handler::ServiceLog;
+pub use token_text::token_text;
--- /dev/null
+++ b/lab/src/standins/service_handler.rs
@@ -0,0 +1,120 @@
+//! A stand-in for a plain service: a ledger that counts each run of each key.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use jujuberoad::health::EnginePhase;
+use jujuberoad::health::MemberReport;
+use jujuberoad::ids::EndpointId;
+use jujuberoad_node::http::HttpHandler;
+use jujuberoad_node::http::ReplyBody;
+use serde_json::json;
+
+use super::http_text::body_bytes;
+use super::http_text::json as json_answer;
+use super::http_text::text;
+
+/// Runs of each key over all endpoints of a service.
+#[derive(Debug, Default)]
+pub struct ServiceLog {
+    /// Runs by idempotency key.
+    pub runs: BTreeMap<String, u64>,
+    /// Runs whose answer is to be lost.
+    pub lost_answers: u64,
+    /// Time that a run takes, in milliseconds.
+    pub run_ms: u64,
+}
+
+/// Answers for one endpoint.
+pub struct ServiceHandler {
+    endpoint: EndpointId,
+    log: Arc<Mutex<ServiceLog>>,
+    incarnation: u64,
+    in_flight: Mutex<u64>,
+}
+
+impl ServiceHandler {
+    /// Answers for `endpoint`, whose runs are counted in `log`.
+    pub fn new(endpoint: EndpointId, log: Arc<Mutex<ServiceLog>>) -> Arc<Self> {
+        let incarnation = fastrand::u64(1..);
+        Arc::new(Self {
+            endpoint,
+            log,
+            incarnation,
+            in_flight: Mutex::new(0),
+        })
+    }
+
+    fn report(&self) -> MemberReport {
+        MemberReport {
+            vm: self.endpoint.clone(),
+            incarnation: self.incarnation,
+            group: "".into(),
+            generation: 0,
+            model: "".into(),
+            version: "".into(),
+            phase: EnginePhase::Warm,
+            in_flight: *self.in_flight.lock().expect("count lock"),
+            fence: 0,
+        }
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let (head, body) = request.into_parts();
+        let key = head
+            .headers
+            .get("idempotency-key")
+            .and_then(|value| value.to_str().ok());
+        let key = key.unwrap_or_default().to_owned();
+        let id = head.headers.get("jujube-request-id").cloned();
+        let body = body_bytes(body).await;
+        if head.method == Method::GET {
+            let log = self.log.lock().expect("log lock");
+            return json_answer(&json!({ "keys": log.runs.len() }));
+        }
+        let (run, run_ms, is_lost) = {
+            let mut log = self.log.lock().expect("log lock");
+            let count = log.runs.entry(key.clone()).or_default();
+            *count += 1;
+            let run = *count;
+            let is_lost = log.lost_answers > 0;
+            log.lost_answers = log.lost_answers.saturating_sub(1);
+            (run, log.run_ms, is_lost)
+        };
+        smol::Timer::after(Duration::from_millis(run_ms)).await;
+        if is_lost {
+            std::future::pending::<()>().await;
+        }
+        let answer = json!({ "key": key, "run": run, "bytes": body.len() });
+        let mut response = json_answer(&answer);
+        *response.status_mut() = StatusCode::CREATED;
+        if let Some(id) = id {
+            response.headers_mut().insert("jujube-request-id", id);
+        }
+        response
+    }
+}
+
+#[async_trait]
+impl HttpHandler for ServiceHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        match request.uri().path() {
+            "/control/report" => json_answer(&self.report()),
+            "/control/order" => text(StatusCode::NOT_FOUND, ""),
+            _ => {
+                *self.in_flight.lock().expect("count lock") += 1;
+                let response = self.run(request).await;
+                *self.in_flight.lock().expect("count lock") -= 1;
+                response
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/admission/mod.rs
@@ -0,0 +1,19 @@
+//! Which waiting request is served next, and who is turned away.
+
+mod drain_rate;
+mod fair_queue;
+mod first_come_queue;
+mod queue_error;
+mod queue_ticket;
+mod request_class;
+mod retry_budget;
+mod wait_queue;
+
+pub use drain_rate::DrainRate;
+pub use fair_queue::FairQueue;
+pub use first_come_queue::FirstComeQueue;
+pub use queue_error::QueueError;
+pub use queue_ticket::QueueTicket;
+pub use request_class::RequestClass;
+pub use retry_budget::RetryBudget;
+pub use wait_queue::WaitQueue;
--- /dev/null
+++ b/lib/src/claims/claim_key.rs
@@ -0,0 +1,24 @@
+//! The key under which a request is claimed.
+
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::CLAIM_SHARDS;
+
+/// Hash of the team, the service and the caller's idempotency key.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct ClaimKey(u128);
+
+impl ClaimKey {
+    /// Hashes what identifies the request.
+    pub fn of(team: &str, service: &str, idempotency_key: &str) -> Self {
+        let text = format!("{team}\0{service}\0{idempotency_key}");
+        Self(xxh3_128(text.as_bytes()))
+    }
+
+    /// Returns the shard to which the key belongs.
+    pub fn shard(&self) -> u64 {
+        (self.0 % u128::from(CLAIM_SHARDS)) as u64
+    }
+}
--- /dev/null
+++ b/lib/src/config/section_reader.rs
@@ -0,0 +1,178 @@
+//! Typed access to the values of one section.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use smol_str::SmolStr;
+
+use super::ConfigProblem;
+use super::IniSection;
+use super::IniValue;
+use crate::ids::Milliseconds;
+
+/// Reads the keys of a section and collects every problem it meets.
+///
+/// `finish` reports the keys that nothing asked for.
+pub struct SectionReader<'a> {
+    section: &'a IniSection,
+    known: BTreeSet<&'static str>,
+    problems: &'a mut Vec<ConfigProblem>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Starts to read `section`; faults are added to `problems`.
+    pub fn new(section: &'a IniSection, problems: &'a mut Vec<ConfigProblem>) -> Self {
+        Self {
+            section,
+            known: BTreeSet::new(),
+            problems,
+        }
+    }
+
+    /// Returns the text of a key that must be present.
+    pub fn text(&mut self, key: &'static str) -> SmolStr {
+        if let Some(value) = self.value(key) {
+            return value.text.clone();
+        }
+        self.refuse_section(format!("key {key:?} is missing"));
+        SmolStr::default()
+    }
+
+    /// Returns the text of a key, or `default` when it is absent.
+    pub fn text_or(&mut self, key: &'static str, default: &str) -> SmolStr {
+        self.value(key)
+            .map_or_else(|| default.into(), |value| value.text.clone())
+    }
+
+    /// Returns the comma-separated items of a key; absent means none.
+    pub fn list(&mut self, key: &'static str) -> Vec<SmolStr> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let items = value.text.split(',').map(str::trim);
+        items
+            .filter(|item| !item.is_empty())
+            .map(SmolStr::from)
+            .collect()
+    }
+
+    /// Returns a whole number of at least `least`.
+    pub fn count(&mut self, key: &'static str, default: u64, least: u64) -> u64 {
+        let expected = format!("a whole number of at least {least}");
+        let count = self.parsed(key, default, &expected, |text| text.parse::<u64>().ok());
+        if count < least {
+            self.refuse(key, &expected);
+        }
+        count
+    }
+
+    /// Returns `yes` as true and `no` as false.
+    pub fn flag(&mut self, key: &'static str, default: bool) -> bool {
+        self.parsed(key, default, "yes or no", |text| match text {
+            "yes" => Some(true),
+            "no" => Some(false),
+            _ => None,
+        })
+    }
+
+    /// Returns a span of time; a unit is required, as in `250ms` or `3s`.
+    pub fn span(&mut self, key: &'static str, default: Milliseconds) -> Milliseconds {
+        let expected = "a span of time with its unit, such as 250ms, 3s or 2m";
+        self.parsed(key, default, expected, |text| {
+            let span = humantime::parse_duration(text).ok()?;
+            Milliseconds::try_from(span.as_millis()).ok()
+        })
+    }
+
+    /// Returns a size in bytes, as in `64KiB` or `1MiB`.
+    pub fn size(&mut self, key: &'static str, default: u64) -> u64 {
+        let expected = "a size with its unit, such as 64KiB or 1MiB";
+        self.parsed(key, default, expected, |text| {
+            let has_unit = text.ends_with('B');
+            let size = text.parse::<bytesize::ByteSize>().ok()?;
+            has_unit.then(|| size.as_u64())
+        })
+    }
+
+    /// Returns an address by IP number and port that must be present.
+    pub fn address(&mut self, key: &'static str) -> SocketAddr {
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        if self.value(key).is_none() {
+            self.refuse_section(format!("key {key:?} is missing"));
+            return unset;
+        }
+        self.parsed(
+            key,
+            unset,
+            "an IP number and a port, such as 10.1.0.4:9000",
+            |text| SocketAddr::from_str(text).ok(),
+        )
+    }
+
+    /// Reports that the value of `key` is not what is expected.
+    pub fn refuse(&mut self, key: &'static str, expected: &str) {
+        let Some(value) = self.section.entries.get(key) else {
+            self.refuse_section(format!("key {key:?}: expected {expected}"));
+            return;
+        };
+        let header = self.section.header();
+        let message = format!("{header} {key} = {:?}: expected {expected}", value.text);
+        self.problems.push(ConfigProblem {
+            file: value.file.clone(),
+            line: value.line,
+            message,
+        });
+    }
+
+    /// Reports a problem of the section as a whole.
+    pub fn refuse_section(&mut self, message: String) {
+        let message = format!("{} {message}", self.section.header());
+        let file = self.section.file.clone();
+        self.problems.push(ConfigProblem {
+            file,
+            line: self.section.line,
+            message,
+        });
+    }
+
+    /// Reports every key that was never asked for.
+    pub fn finish(self) {
+        let expected = self.known.iter().copied().collect::<Vec<_>>().join(", ");
+        for (key, value) in &self.section.entries {
+            if self.known.contains(key.as_str()) {
+                continue;
+            }
+            let header = self.section.header();
+            let message = format!("{header} key {key:?} is not known; expected one of {expected}");
+            let file = value.file.clone();
+            self.problems.push(ConfigProblem {
+                file,
+                line: value.line,
+                message,
+            });
+        }
+    }
+
+    fn value(&mut self, key: &'static str) -> Option<&'a IniValue> {
+        self.known.insert(key);
+        self.section.entries.get(key)
+    }
+
+    fn parsed<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> T {
+        let Some(value) = self.value(key) else {
+            return default;
+        };
+        if let Some(parsed) = parse(&value.text) {
+            return parsed;
+        }
+        self.refuse(key, expected);
+        default
+    }
+}
--- /dev/null
+++ b/lib/src/health/group_gate.rs
@@ -0,0 +1,87 @@
+//! Decides whether a group is whole.
+
+use std::time::Instant;
+
+use super::EnginePhase;
+use super::GateState;
+use super::MemberReport;
+use super::ReportTable;
+use crate::placement::GroupRecord;
+use crate::placement::MemberRecord;
+
+/// Checks the reports of a group's members against its placement record.
+pub struct GroupGate<'a> {
+    group: &'a GroupRecord,
+    reports: &'a ReportTable,
+}
+
+impl<'a> GroupGate<'a> {
+    /// Prepares the check of `group` against `reports`.
+    pub fn new(group: &'a GroupRecord, reports: &'a ReportTable) -> Self {
+        Self { group, reports }
+    }
+
+    /// Returns the verdict at `now`.
+    pub fn check(&self, now: Instant) -> GateState {
+        let mut until: Option<Instant> = None;
+        let mut is_cold = false;
+        for member in &self.group.members {
+            let Some(report) = self.reports.fresh(&member.vm, now) else {
+                return GateState::Closed {
+                    reason: format!("{} has no fresh report", member.vm),
+                };
+            };
+            if let Some(reason) = self.mismatch(member, report) {
+                return GateState::Closed { reason };
+            }
+            is_cold |= report.phase == EnginePhase::Cold;
+            let member_until = self.reports.fresh_until(&member.vm);
+            until = until.into_iter().chain(member_until).min();
+        }
+        match until {
+            None => GateState::Closed {
+                reason: "the group has no members".to_owned(),
+            },
+            Some(until) if is_cold => GateState::Cold { until },
+            Some(until) => GateState::Warm { until },
+        }
+    }
+
+    fn mismatch(&self, member: &MemberRecord, report: &MemberReport) -> Option<String> {
+        let vm = &member.vm;
+        if report.incarnation != member.incarnation {
+            return Some(format!("{vm} has restarted since the group was formed"));
+        }
+        if report.group != self.group.group || report.generation != self.group.generation {
+            let (group, generation) = (&report.group, report.generation);
+            return Some(format!(
+                "{vm} runs for group {group:?} generation {generation}"
+            ));
+        }
+        if report.model != self.group.model || report.version != self.group.version {
+            return Some(format!("{vm} holds {} {}", report.model, report.version));
+        }
+        match report.phase {
+            EnginePhase::Cold | EnginePhase::Warm => None,
+            phase => Some(format!("{vm} is {phase}")),
+        }
+    }
+}
+
+/// Returns the verdict on a plain endpoint, which has no other members.
+pub fn endpoint_gate(endpoint: &str, reports: &ReportTable, now: Instant) -> GateState {
+    let report = reports.fresh(endpoint, now);
+    let until = reports.fresh_until(endpoint);
+    let (Some(report), Some(until)) = (report, until) else {
+        return GateState::Closed {
+            reason: format!("{endpoint} has no fresh report"),
+        };
+    };
+    match report.phase {
+        EnginePhase::Cold => GateState::Cold { until },
+        EnginePhase::Warm => GateState::Warm { until },
+        phase => GateState::Closed {
+            reason: format!("{endpoint} is {phase}"),
+        },
+    }
+}
--- /dev/null
+++ b/lib/src/membership/mod.rs
@@ -0,0 +1,33 @@
+//! Which routers there are, which of them is home to what, and whether a
+//! router's view of the records is recent enough to act on.
+
+mod confirmed_version;
+mod home_table;
+mod outage_vote;
+mod relay_plan;
+mod router_entry;
+mod router_list;
+mod version_vector;
+mod view_guard;
+mod view_key;
+
+pub use confirmed_version::ConfirmedVersion;
+pub use home_table::HomeTable;
+pub(crate) use home_table::rendezvous_score;
+pub use outage_vote::OutageVote;
+pub use outage_vote::PeerVote;
+pub use relay_plan::RelayPlan;
+pub use router_entry::RouterEntry;
+pub use router_list::RouterList;
+pub use version_vector::VersionVector;
+pub use view_guard::ViewGuard;
+pub use view_key::ViewKey;
+
+use crate::ids::Milliseconds;
+
+/// Time after which a view that nobody has confirmed must not be acted on.
+pub const VIEW_VALID_MS: Milliseconds = 3_000;
+/// Time for which a router's lease lasts without renewal.
+pub const ROUTER_LEASE_MS: Milliseconds = 10_000;
+/// Time between two renewals of a router's lease.
+pub const ROUTER_RENEW_MS: Milliseconds = 4_000;
--- /dev/null
+++ b/lib/src/membership/version_vector.rs
@@ -0,0 +1,41 @@
+//! Versions of the records that a router holds or knows of.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::ViewKey;
+use crate::ids::StoreVersion;
+
+/// Highest version seen of each record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionVector {
+    versions: BTreeMap<ViewKey, StoreVersion>,
+}
+
+impl VersionVector {
+    /// Returns the version of `key`; 0 when none has been seen.
+    pub fn get(&self, key: &ViewKey) -> StoreVersion {
+        self.versions.get(key).copied().unwrap_or(0)
+    }
+
+    /// Raises the version of `key`; returns whether it was lower before.
+    pub fn raise(&mut self, key: &ViewKey, version: StoreVersion) -> bool {
+        if version <= self.get(key) {
+            return false;
+        }
+        self.versions.insert(key.clone(), version);
+        true
+    }
+
+    /// Returns the records and their versions.
+    pub fn iter(&self) -> impl Iterator<Item = (&ViewKey, StoreVersion)> {
+        self.versions.iter().map(|(key, version)| (key, *version))
+    }
+
+    /// Tells whether `other` has seen a version of some record that this has not.
+    pub fn is_behind(&self, other: &Self) -> bool {
+        other.iter().any(|(key, version)| version > self.get(key))
+    }
+}
--- /dev/null
+++ b/lib/src/peer/mod.rs
@@ -0,0 +1,12 @@
+//! Messages between the processes of the system, encoded with `postcard`.
+
+mod peer_frame;
+mod peer_message;
+
+pub use peer_frame::PeerFrame;
+pub use peer_message::PeerMessage;
+
+/// Version of the peer protocol; frames of another version are dropped.
+pub const PEER_VERSION: u8 = 1;
+/// Largest frame, in bytes; it fits in one UDP datagram.
+pub const MAX_FRAME_BYTES: usize = 8_192;
--- /dev/null
+++ b/lib/src/peer/peer_message.rs
@@ -0,0 +1,64 @@
+//! What routers say to each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::claims::ClaimAnswer;
+use crate::claims::ClaimKey;
+use crate::claims::ClaimReply;
+use crate::ids::Milliseconds;
+use crate::ids::Nonce;
+use crate::membership::ConfirmedVersion;
+use crate::membership::PeerVote;
+use crate::slots::SlotGrant;
+use crate::slots::SlotRequest;
+
+/// A question to a peer, or the answer to one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Asks for the newest versions and for the peer's view of the store.
+    Ping,
+    /// Answers a ping.
+    Pong {
+        /// Versions that the store named as the newest.
+        confirmed: Vec<ConfirmedVersion>,
+        /// Whether the store can be reached, and the versions that are held.
+        vote: PeerVote,
+    },
+    /// Asks the home of a target for slots.
+    SlotRequest(SlotRequest),
+    /// Answers a request for slots.
+    SlotGrant(SlotGrant),
+    /// Asks the home of a shard to claim a key.
+    Claim {
+        /// The key.
+        key: ClaimKey,
+        /// Drawn by the asker for this one attempt.
+        nonce: Nonce,
+        /// Time for which the asker waits, in milliseconds.
+        patience_ms: Milliseconds,
+    },
+    /// Answers a claim.
+    ClaimReply(ClaimReply),
+    /// Tells the home of a shard how a claimed request ended.
+    Settle {
+        /// The key.
+        key: ClaimKey,
+        /// The nonce under which it was claimed.
+        nonce: Nonce,
+        /// How the request ended.
+        answer: ClaimAnswer,
+    },
+    /// Acknowledges a settlement.
+    Settled,
+}
+
+impl PeerMessage {
+    /// Tells whether the message answers a question.
+    pub fn is_answer(&self) -> bool {
+        matches!(
+            self,
+            Self::Pong { .. } | Self::SlotGrant(_) | Self::ClaimReply(_) | Self::Settled
+        )
+    }
+}
--- /dev/null
+++ b/lib/src/placement/engine_order.rs
@@ -0,0 +1,71 @@
+//! An order from a placer to an engine.
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::GroupRecord;
+use crate::health::MemberReport;
+use crate::ids::Fence;
+use crate::ids::Generation;
+use crate::ids::GroupId;
+use crate::ids::ModelId;
+use crate::ids::VmId;
+
+/// Tells an engine for which group it runs; an empty group unloads it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// VM for which the order is meant.
+    pub vm: VmId,
+    /// Fence of the placer; engines that check it refuse a lower one.
+    pub fence: Fence,
+    /// Group that the engine joins; empty for none.
+    pub group: GroupId,
+    /// Generation of the group.
+    pub generation: Generation,
+    /// Model to load.
+    pub model: ModelId,
+    /// Version to load.
+    pub version: SmolStr,
+    /// Adapters to load.
+    pub adapters: Vec<SmolStr>,
+    /// Members of the group by rank.
+    pub members: Vec<VmId>,
+}
+
+impl EngineOrder {
+    /// Returns the order that makes `vm` a member of `group`.
+    pub fn join(vm: &VmId, group: &GroupRecord, fence: Fence) -> Self {
+        Self {
+            vm: vm.clone(),
+            fence,
+            group: group.group.clone(),
+            generation: group.generation,
+            model: group.model.clone(),
+            version: group.version.clone(),
+            adapters: group.adapters.clone(),
+            members: group
+                .members
+                .iter()
+                .map(|member| member.vm.clone())
+                .collect(),
+        }
+    }
+
+    /// Returns the order that unloads `vm`.
+    pub fn unload(vm: &VmId, fence: Fence) -> Self {
+        Self {
+            vm: vm.clone(),
+            fence,
+            ..Self::default()
+        }
+    }
+
+    /// Tells whether the engine already does what the order asks for.
+    pub fn is_met_by(&self, report: &MemberReport) -> bool {
+        report.group == self.group
+            && report.generation == self.generation
+            && report.model == self.model
+            && report.version == self.version
+    }
+}
--- /dev/null
+++ b/lib/src/placement/mod.rs
@@ -0,0 +1,30 @@
+//! Which VMs form which group.
+//!
+//! One record holds all groups of an availability zone. A VM stands in one
+//! zone, so one compare-and-swap decides about it and no two groups can hold it.
+
+mod domain_planner;
+mod drain_clock;
+mod engine_order;
+mod first_fit_planner;
+mod group_record;
+mod group_state;
+mod member_record;
+mod placement_planner;
+mod placement_record;
+mod plan_input;
+mod replica_share;
+mod vm_status;
+
+pub use domain_planner::DomainPlanner;
+pub use drain_clock::DrainClock;
+pub use engine_order::EngineOrder;
+pub use first_fit_planner::FirstFitPlanner;
+pub use group_record::GroupRecord;
+pub use group_state::GroupState;
+pub use member_record::MemberRecord;
+pub use placement_planner::PlacementPlanner;
+pub use placement_record::PlacementRecord;
+pub use plan_input::PlanInput;
+pub use replica_share::ReplicaShare;
+pub use vm_status::VmStatus;
--- /dev/null
+++ b/lib/src/placement/vm_status.rs
@@ -0,0 +1,14 @@
+//! What a placer knows about a VM.
+
+use crate::ids::Incarnation;
+
+/// State of a VM at the moment of planning.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmStatus {
+    /// Incarnation of its engine.
+    pub incarnation: Incarnation,
+    /// Whether settings or the platform's list say that it leaves.
+    pub leaving: bool,
+    /// Whether its engine is ready for the group that it reports.
+    pub ready: bool,
+}
--- /dev/null
+++ b/lib/src/routing/mod.rs
@@ -0,0 +1,31 @@
+//! Where a request goes: the table of targets and the choice among them.
+
+mod choice_hint;
+mod closed_reason;
+mod lagging_chooser;
+mod model_name;
+mod prefix_chooser;
+mod retry_step;
+mod round_robin_chooser;
+mod route_table;
+mod route_target;
+mod stream_ledger;
+mod target_chooser;
+mod target_kind;
+mod target_load;
+
+pub use choice_hint::ChoiceHint;
+pub use closed_reason::ClosedReason;
+pub use lagging_chooser::LaggingChooser;
+pub use model_name::ModelName;
+pub use prefix_chooser::PrefixChooser;
+pub use retry_step::AttemptFailure;
+pub use retry_step::RetryStep;
+pub use round_robin_chooser::RoundRobinChooser;
+pub use route_table::RouteTable;
+pub use route_target::RouteTarget;
+pub use stream_ledger::StreamLedger;
+pub use stream_ledger::StreamStep;
+pub use target_chooser::TargetChooser;
+pub use target_kind::TargetKind;
+pub use target_load::TargetLoad;
--- /dev/null
+++ b/lib/src/routing/target_kind.rs
@@ -0,0 +1,13 @@
+//! What a target serves.
+
+use crate::ids::ModelId;
+use crate::ids::ServiceId;
+
+/// Model or plain service behind a target.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum TargetKind {
+    /// A group of VMs that holds a replica of this model.
+    Model(ModelId),
+    /// An endpoint of this plain service.
+    Service(ServiceId),
+}
--- /dev/null
+++ b/lib/src/slots/slot_home.rs
@@ -0,0 +1,267 @@
+//! The home's side of slot leases.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::HOME_TAKEOVER_MS;
+use super::SLOT_LEASE_MS;
+use super::SLOT_TURN_MS;
+use super::SlotGrant;
+use super::SlotRefusal;
+use super::SlotRequest;
+use super::slot_holder::SlotHolder;
+use crate::health::GateState;
+use crate::ids::Epoch;
+use crate::ids::Generation;
+use crate::ids::Milliseconds;
+use crate::ids::RouterId;
+use crate::ids::TargetId;
+
+/// Owns the limit of one target and leases parts of it to routers.
+///
+/// Requests of a router that falls silent are counted as lost in flight until
+/// a report of the engine, asked for after the silence, shows fewer.
+#[derive(Clone, Debug)]
+pub struct SlotHome {
+    target: TargetId,
+    epoch: Epoch,
+    generation: Generation,
+    warm_limit: u32,
+    cold_limit: u32,
+    gate: GateState,
+    grants_from: Instant,
+    holders: BTreeMap<RouterId, SlotHolder>,
+    lost: u32,
+    lost_since: Option<Instant>,
+}
+
+impl SlotHome {
+    /// Becomes home to `target` at `now`.
+    ///
+    /// A home that `takes_over` grants nothing on a cold target until the
+    /// grants of an earlier home have lapsed.
+    pub fn new(target: TargetId, epoch: Epoch, takes_over: bool, now: Instant) -> Self {
+        let wait_ms = if takes_over { HOME_TAKEOVER_MS } else { 0 };
+        Self {
+            target,
+            epoch,
+            generation: 0,
+            warm_limit: 0,
+            cold_limit: 0,
+            gate: GateState::Closed {
+                reason: "not polled yet".to_owned(),
+            },
+            grants_from: now + Duration::from_millis(wait_ms),
+            holders: BTreeMap::new(),
+            lost: if takes_over { u32::MAX } else { 0 },
+            lost_since: takes_over.then_some(now),
+        }
+    }
+
+    /// Returns the target.
+    pub fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    /// Returns the newest verdict on the target.
+    pub fn gate(&self) -> &GateState {
+        &self.gate
+    }
+
+    /// Stays home under a newer list of routers.
+    pub fn set_epoch(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+    }
+
+    /// Takes the limits in force and the generation to which they apply.
+    pub fn set_limits(&mut self, warm_limit: u32, cold_limit: u32, generation: Generation) {
+        self.warm_limit = warm_limit;
+        self.cold_limit = cold_limit;
+        self.generation = generation;
+    }
+
+    /// Takes a new verdict on the target.
+    pub fn set_gate(&mut self, gate: GateState) {
+        self.gate = gate;
+    }
+
+    /// Takes an engine's count of requests in progress, asked for at `polled_at`.
+    pub fn observe_load(&mut self, in_flight: u64, polled_at: Instant, now: Instant) {
+        self.expire(now);
+        let Some(since) = self.lost_since else { return };
+        if polled_at <= since || polled_at < self.grants_from {
+            return;
+        }
+        let known: u64 = self
+            .holders
+            .values()
+            .map(|holder| u64::from(holder.in_use))
+            .sum();
+        let unknown = in_flight.saturating_sub(known).min(u64::from(self.lost));
+        self.lost = u32::try_from(unknown).unwrap_or(u32::MAX);
+        if self.lost == 0 {
+            self.lost_since = None;
+        }
+    }
+
+    /// Returns the limit that the gate allows at `now`.
+    pub fn limit(&self, now: Instant) -> u32 {
+        match &self.gate {
+            GateState::Warm { until } if now < *until => self.warm_limit,
+            GateState::Cold { until } if now < *until => self.cold_limit,
+            _ => 0,
+        }
+    }
+
+    /// Returns the most requests that routers may have in progress at `now`.
+    pub fn charge(&self, now: Instant) -> u32 {
+        let held: u32 = self.holders.values().map(|holder| holder.charge(now)).sum();
+        held.saturating_add(self.lost_or_none())
+    }
+
+    /// Answers a request; requests that arrive out of order get no answer.
+    pub fn request(&mut self, request: &SlotRequest, now: Instant) -> Option<SlotGrant> {
+        self.expire(now);
+        if request.epoch != self.epoch {
+            return Some(self.refuse(request, SlotRefusal::NotHome));
+        }
+        let silent_at = now + Duration::from_millis(SLOT_LEASE_MS);
+        let known = self.holders.remove(&request.router);
+        if known.as_ref().is_some_and(|holder| {
+            holder.incarnation == request.incarnation && holder.number >= request.number
+        }) {
+            self.holders
+                .extend(known.map(|holder| (request.router.clone(), holder)));
+            return None;
+        }
+        let mut holder = match known {
+            Some(holder) if holder.incarnation == request.incarnation => holder,
+            Some(earlier) => {
+                self.lose(earlier.charge(now), now);
+                SlotHolder::new(request.incarnation, now, silent_at)
+            }
+            None => SlotHolder::new(request.incarnation, now, silent_at),
+        };
+        holder.observe(request, now, silent_at);
+        let grant = self.grant(request, &mut holder, now);
+        self.holders.insert(request.router.clone(), holder);
+        Some(grant)
+    }
+
+    fn grant(&self, request: &SlotRequest, holder: &mut SlotHolder, now: Instant) -> SlotGrant {
+        let (until, is_cold) = match &self.gate {
+            GateState::Warm { until } => (*until, false),
+            GateState::Cold { until } => (*until, true),
+            GateState::Closed { .. } => return self.refuse(request, SlotRefusal::Closed),
+        };
+        let is_settled = now >= self.grants_from && self.lost != u32::MAX;
+        if is_cold && !is_settled {
+            return self.refuse(request, SlotRefusal::TakingOver);
+        }
+        let limit = self.limit(now).saturating_sub(self.lost_or_none());
+        let others: u32 = self.holders.values().map(|holder| holder.charge(now)).sum();
+        let available = limit.saturating_sub(others);
+        let share = self.fair_share(limit, holder, now);
+        let slots = holder.desired.min(available).min(share);
+        let lease_ends_at = now + Duration::from_millis(SLOT_LEASE_MS);
+        let ends_at = lease_ends_at.min(until);
+        let valid = ends_at.saturating_duration_since(now);
+        holder.promise(request.number, slots, ends_at);
+        let is_refused = slots == 0 && holder.desired > 0;
+        SlotGrant {
+            target: self.target.clone(),
+            epoch: self.epoch,
+            number: request.number,
+            slots,
+            valid_ms: Milliseconds::try_from(valid.as_millis()).unwrap_or(0),
+            generation: self.generation,
+            is_cold,
+            free: available - slots,
+            refusal: is_refused.then_some(SlotRefusal::Full),
+        }
+    }
+
+    /// Divides `limit` between the routers that want slots: the largest share
+    /// that all can have, or turns when there are more routers than slots.
+    fn fair_share(&self, limit: u32, holder: &mut SlotHolder, now: Instant) -> u32 {
+        let others: Vec<&SlotHolder> = self
+            .holders
+            .values()
+            .filter(|other| other.desired > 0)
+            .collect();
+        let mut desires: Vec<u32> = others.iter().map(|other| other.desired).collect();
+        desires.push(holder.desired);
+        let share = level_share(limit, &mut desires);
+        if share > 0 {
+            return share;
+        }
+        let turn = Duration::from_millis(SLOT_TURN_MS);
+        if holder.charge(now) > 0 && now >= holder.turn_from + turn {
+            holder.turn_from = now;
+        }
+        let earlier = others
+            .iter()
+            .filter(|other| other.turn_from < holder.turn_from)
+            .count();
+        u32::from(earlier < limit as usize)
+    }
+
+    /// Returns the requests lost in flight; none while a new home does not know.
+    fn lost_or_none(&self) -> u32 {
+        if self.lost == u32::MAX { 0 } else { self.lost }
+    }
+
+    fn refuse(&self, request: &SlotRequest, refusal: SlotRefusal) -> SlotGrant {
+        SlotGrant {
+            target: self.target.clone(),
+            epoch: self.epoch,
+            number: request.number,
+            slots: 0,
+            valid_ms: 0,
+            generation: self.generation,
+            is_cold: self.gate.is_cold(),
+            free: 0,
+            refusal: Some(refusal),
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let mut lost = 0_u32;
+        self.holders.retain(|_, holder| {
+            if now < holder.silent_at {
+                return true;
+            }
+            lost = lost.saturating_add(holder.charge_when_silent());
+            false
+        });
+        if lost > 0 {
+            self.lose(lost, now);
+        }
+    }
+
+    fn lose(&mut self, count: u32, now: Instant) {
+        if count == 0 {
+            return;
+        }
+        self.lost = self.lost.saturating_add(count);
+        self.lost_since = Some(now);
+    }
+}
+
+/// Returns the largest share `s` such that the sum of `min(desire, s)` stays
+/// within `limit`; all desires fit when it returns `u32::MAX`.
+fn level_share(limit: u32, desires: &mut [u32]) -> u32 {
+    desires.sort_unstable();
+    let mut left = limit;
+    let mut takers = desires.len() as u32;
+    for desire in desires {
+        let share = left / takers;
+        if *desire > share {
+            return share;
+        }
+        left -= *desire;
+        takers -= 1;
+    }
+    u32::MAX
+}
--- /dev/null
+++ b/lib/src/slots/slot_wallet.rs
@@ -0,0 +1,210 @@
+//! The router's side of slot leases.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use super::SLOT_RENEW_MS;
+use super::SlotGrant;
+use super::SlotPermit;
+use super::SlotRefusal;
+use super::SlotRequest;
+use super::WalletState;
+use crate::ids::Epoch;
+use crate::ids::Generation;
+use crate::ids::Incarnation;
+use crate::ids::Milliseconds;
+use crate::ids::RouterId;
+use crate::ids::TargetId;
+
+/// Time after which an unanswered request for slots is repeated.
+const SLOT_ASK_AGAIN_MS: Milliseconds = 100;
+/// Pause before a target without free slots is asked again.
+const SLOT_FULL_PAUSE_MS: Milliseconds = 20;
+/// Part of a target's slots that one router may hold without using them.
+const CUSHION_DIVISOR: u32 = 8;
+/// Unanswered requests in a row after which the standby is asked.
+const HOME_MISSES: u32 = 3;
+
+/// Slots of one target that this router holds.
+#[derive(Clone, Debug)]
+pub struct SlotWallet {
+    target: TargetId,
+    router: RouterId,
+    incarnation: Incarnation,
+    epoch: Epoch,
+    number: u64,
+    applied: u64,
+    sent_at: Option<Instant>,
+    misses: u32,
+    slots: u32,
+    free: u32,
+    valid_until: Option<Instant>,
+    generation: Generation,
+    state: WalletState,
+    in_use: u32,
+    taken: u32,
+}
+
+impl SlotWallet {
+    /// Opens an empty wallet of `router` for `target`.
+    pub fn new(target: TargetId, router: RouterId, incarnation: Incarnation) -> Self {
+        Self {
+            target,
+            router,
+            incarnation,
+            epoch: 0,
+            number: 0,
+            applied: 0,
+            sent_at: None,
+            misses: 0,
+            slots: 0,
+            free: 0,
+            valid_until: None,
+            generation: 0,
+            state: WalletState::Unknown,
+            in_use: 0,
+            taken: 0,
+        }
+    }
+
+    /// Returns the requests in progress.
+    pub fn in_use(&self) -> u32 {
+        self.in_use
+    }
+
+    /// Returns how many requests may start at `now` on `generation`.
+    pub fn spare(&self, generation: Generation, now: Instant) -> u32 {
+        let is_valid = self.valid_until.is_some_and(|until| now < until);
+        if !is_valid || self.generation != generation {
+            return 0;
+        }
+        self.slots.saturating_sub(self.in_use)
+    }
+
+    /// Returns the slots that the newest grant allows.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Returns the slots that the home said were held by nobody.
+    pub fn free_at_home(&self) -> u32 {
+        self.free
+    }
+
+    /// Returns what is known about the target at `now`.
+    pub fn state(&self, now: Instant) -> WalletState {
+        match self.valid_until {
+            Some(until) if now < until => self.state,
+            _ if self.state == WalletState::Closed => WalletState::Closed,
+            _ => WalletState::Unknown,
+        }
+    }
+
+    /// Takes one slot, provided that the grant is for `generation`.
+    pub fn take(&mut self, generation: Generation, now: Instant) -> Option<SlotPermit> {
+        let send_by = self.valid_until?;
+        if self.spare(generation, now) == 0 {
+            return None;
+        }
+        self.in_use += 1;
+        self.taken += 1;
+        let is_cold = self.state.is_cold();
+        Some(SlotPermit {
+            target: self.target.clone(),
+            generation,
+            send_by,
+            is_cold,
+        })
+    }
+
+    /// Gives back the slot of a request that has ended.
+    pub fn finish(&mut self) {
+        self.in_use = self.in_use.saturating_sub(1);
+    }
+
+    /// Forgets the grant, on the first sign that the target is not what it was.
+    pub fn cut_back(&mut self) {
+        self.slots = 0;
+        self.valid_until = None;
+    }
+
+    /// Tells whether held slots are to be renewed or given back.
+    pub fn is_renewal_due(&self, now: Instant) -> bool {
+        let Some(sent_at) = self.sent_at else {
+            return false;
+        };
+        let renew_at = sent_at + Duration::from_millis(SLOT_RENEW_MS);
+        now >= renew_at && (self.in_use > 0 || self.slots > 0 || self.taken > 0)
+    }
+
+    /// Tells whether more slots may be asked for: no answer is on its way, and
+    /// some time has passed since nothing was granted.
+    pub fn may_ask(&self, now: Instant) -> bool {
+        let Some(sent_at) = self.sent_at else {
+            return true;
+        };
+        let pause_ms = match (self.misses > 0, self.state) {
+            (true, _) | (_, WalletState::Closed | WalletState::Unknown) => SLOT_ASK_AGAIN_MS,
+            (false, _) if self.slots == 0 => SLOT_FULL_PAUSE_MS,
+            (false, _) => 0,
+        };
+        now >= sent_at + Duration::from_millis(pause_ms)
+    }
+
+    /// Returns how many slots to keep ready for requests yet to come: as many
+    /// as were taken since the last request, up to an eighth of `limit`.
+    pub fn cushion(&self, limit: u32) -> u32 {
+        self.taken.min(limit / CUSHION_DIVISOR)
+    }
+
+    /// Tells whether the home has left several requests unanswered.
+    pub fn is_home_silent(&self) -> bool {
+        self.misses > HOME_MISSES
+    }
+
+    /// Returns the next request for the home or, when that is silent, for its standby.
+    pub fn request(&mut self, epoch: Epoch, wanted: u32, now: Instant) -> SlotRequest {
+        let is_to_standby = self.is_home_silent() && self.misses % 2 == 0;
+        self.epoch = epoch;
+        self.number += 1;
+        self.misses = self.misses.saturating_add(1);
+        self.sent_at = Some(now);
+        self.taken = 0;
+        SlotRequest {
+            target: self.target.clone(),
+            router: self.router.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            number: self.number,
+            applied: self.applied,
+            in_use: self.in_use,
+            wanted,
+            is_to_standby,
+        }
+    }
+
+    /// Applies the answer to the newest request; any other answer is ignored.
+    pub fn apply(&mut self, grant: &SlotGrant) -> bool {
+        let Some(sent_at) = self.sent_at else {
+            return false;
+        };
+        if grant.number != self.number || grant.epoch != self.epoch || self.misses == 0 {
+            return false;
+        }
+        self.misses = 0;
+        self.applied = grant.number;
+        self.slots = grant.slots;
+        self.free = grant.free;
+        self.generation = grant.generation;
+        self.valid_until = Some(sent_at + Duration::from_millis(grant.valid_ms));
+        self.state = match grant.refusal {
+            Some(SlotRefusal::Closed) => WalletState::Closed,
+            Some(SlotRefusal::NotHome | SlotRefusal::StaleView | SlotRefusal::TakingOver) => {
+                WalletState::Unknown
+            }
+            _ if grant.is_cold => WalletState::Cold,
+            _ => WalletState::Warm,
+        };
+        true
+    }
+}
--- /dev/null
+++ b/node/src/backends/http_data_path.rs
@@ -0,0 +1,43 @@
+//! HTTP binding of the data side.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+
+use super::CallError;
+use super::DataPath;
+use crate::http::HttpPool;
+use crate::http::ReplyBody;
+
+/// Sends requests over pooled connections.
+pub struct HttpDataPath {
+    pool: Arc<HttpPool>,
+}
+
+impl HttpDataPath {
+    /// Sends over the connections of `pool`.
+    pub fn new(pool: Arc<HttpPool>) -> Self {
+        Self { pool }
+    }
+}
+
+#[async_trait]
+impl DataPath for HttpDataPath {
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+        head_by: Instant,
+    ) -> Result<Response<ReplyBody>, CallError> {
+        let response = self.pool.send(address, request, fresh, head_by).await?;
+        Ok(response.map(|body| body.boxed()))
+    }
+}
--- /dev/null
+++ b/node/src/backends/store_error.rs
@@ -0,0 +1,42 @@
+//! Failure of a call to the platform's store.
+
+use jujuberoad::ids::StoreVersion;
+
+use super::CallError;
+
+/// Why the store did not do what was asked.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The key does not hold the expected version; nothing was written.
+    #[error("key {key:?} holds version {found}, not {expected}")]
+    Conflict {
+        /// The key.
+        key: String,
+        /// Version that was expected; 0 for a key that does not exist.
+        expected: StoreVersion,
+        /// Version that was found.
+        found: StoreVersion,
+    },
+    /// The store refused the call, by its rate limit or in an outage; nothing
+    /// was written.
+    #[error("the store refused the call for {key:?}: status {status}")]
+    Refused {
+        /// The key.
+        key: String,
+        /// HTTP status of the refusal.
+        status: u16,
+    },
+    /// The lease is unknown or has lapsed.
+    #[error("lease {0} has lapsed")]
+    LeaseLapsed(u64),
+    /// The call failed; a write may have taken effect.
+    #[error(transparent)]
+    Call(#[from] CallError),
+}
+
+impl StoreError {
+    /// Tells whether a write may have taken effect all the same.
+    pub fn is_in_doubt(&self) -> bool {
+        matches!(self, Self::Call(error) if error.was_sent)
+    }
+}
--- /dev/null
+++ b/node/src/http/http_pool.rs
@@ -0,0 +1,226 @@
+//! Client connections by peer.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use super::HttpReply;
+use super::PooledBody;
+use crate::backends::CallError;
+use crate::backends::CallStep;
+use crate::runtime;
+
+/// Time for which an idle connection is trusted not to have gone silent.
+const IDLE_TRUST: Duration = Duration::from_secs(1);
+/// Idle connections kept for one peer.
+const MAX_IDLE_PER_PEER: usize = 64;
+/// Time within which a connection must be open.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Largest answer that `exchange` reads, in bytes.
+const MAX_REPLY_BYTES: usize = 4 << 20;
+
+/// Reuses connections that have been idle for a short time only.
+///
+/// A connection may go silent for good without an error, so one that has been
+/// idle for longer is closed, and one that let a deadline pass is never used
+/// again, nor are the others that were idle for the same peer at that time.
+#[derive(Default)]
+pub struct HttpPool {
+    idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    discard_at: Instant,
+}
+
+impl HttpPool {
+    /// Opens an empty pool.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Sends `request` and returns the head of its answer by `head_by`.
+    pub async fn send(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+        head_by: Instant,
+    ) -> Result<Response<PooledBody>, CallError> {
+        let idle = if fresh { None } else { self.take_idle(address) };
+        let mut sender = match idle {
+            Some(sender) => sender,
+            None => connect(address, head_by).await?,
+        };
+        let mut pending = request;
+        for _ in 0..2 {
+            match self.try_send(sender, address, pending, head_by).await {
+                Ok(response) => return Ok(response),
+                Err(SendFailure {
+                    error,
+                    unsent: None,
+                }) => return Err(error),
+                Err(SendFailure {
+                    unsent: Some(request),
+                    ..
+                }) => pending = request,
+            }
+            sender = connect(address, head_by).await?;
+        }
+        Err(CallError::unsent(
+            CallStep::Send,
+            address,
+            "two connections closed before use",
+        ))
+    }
+
+    /// Sends a small request and reads the whole answer by `deadline`.
+    pub async fn exchange(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<HttpReply, CallError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", address.to_string())
+            .body(Full::new(body))
+            .map_err(|error| CallError::unsent(CallStep::Send, address, error))?;
+        let response = self.send(address, request, false, deadline).await?;
+        let (head, body) = response.into_parts();
+        let read = async {
+            Limited::new(body, MAX_REPLY_BYTES)
+                .collect()
+                .await
+                .map_err(|e| e.to_string())
+        };
+        let body = by_deadline(deadline, read)
+            .await
+            .ok_or_else(|| CallError::sent(CallStep::Read, address, "deadline passed"))?
+            .map_err(|error| CallError::sent(CallStep::Read, address, error))?;
+        let body = body.to_bytes();
+        Ok(HttpReply {
+            peer: address,
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    pub(super) fn give_back(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.lock().expect("pool lock");
+        let connections = idle.entry(address).or_default();
+        if sender.is_closed() || connections.len() >= MAX_IDLE_PER_PEER {
+            return;
+        }
+        connections.push(IdleConnection {
+            sender,
+            discard_at: Instant::now() + IDLE_TRUST,
+        });
+    }
+
+    async fn try_send(
+        self: &Arc<Self>,
+        mut sender: SendRequest<Full<Bytes>>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        head_by: Instant,
+    ) -> Result<Response<PooledBody>, SendFailure> {
+        let Some(sent) = by_deadline(head_by, sender.try_send_request(request)).await else {
+            self.discard_idle(address);
+            let error = CallError::sent(CallStep::Send, address, "deadline passed");
+            return Err(SendFailure {
+                error,
+                unsent: None,
+            });
+        };
+        match sent {
+            Ok(response) => {
+                let pool = Arc::clone(self);
+                Ok(response.map(|body| PooledBody::new(body, address, pool, sender)))
+            }
+            Err(mut failure) => {
+                let unsent = failure.take_message();
+                let error = CallError::sent(CallStep::Send, address, failure.error());
+                Err(SendFailure { error, unsent })
+            }
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().expect("pool lock");
+        let connections = idle.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if now >= connection.discard_at {
+                connections.clear();
+                return None;
+            }
+            if connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    fn discard_idle(&self, address: SocketAddr) {
+        self.idle.lock().expect("pool lock").remove(&address);
+    }
+}
+
+/// A request that got no answer, and the request itself if no byte of it left.
+struct SendFailure {
+    error: CallError,
+    unsent: Option<Request<Full<Bytes>>>,
+}
+
+async fn connect(
+    address: SocketAddr,
+    deadline: Instant,
+) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    let deadline = deadline.min(Instant::now() + CONNECT_LIMIT);
+    let stream = by_deadline(deadline, TcpStream::connect(address))
+        .await
+        .ok_or_else(|| CallError::unsent(CallStep::Connect, address, "deadline passed"))?
+        .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+    let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        .await
+        .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+    runtime::spawn(async move {
+        // The sender sees every error of the connection as well.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Waits for `future` until `deadline`; returns nothing when that passes first.
+async fn by_deadline<T>(deadline: Instant, future: impl Future<Output = T>) -> Option<T> {
+    let timer = async {
+        smol::Timer::at(deadline).await;
+        None
+    };
+    async { Some(future.await) }.or(timer).await
+}
--- /dev/null
+++ b/node/src/http/http_server.rs
@@ -0,0 +1,121 @@
+//! Accepts connections and serves HTTP/1.1 on them.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use super::HttpHandler;
+use crate::runtime;
+use crate::runtime::StopSignal;
+
+/// Time within which a caller must have sent the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+/// Headers that a request may have.
+const MAX_HEADERS: usize = 64;
+/// Bytes that the head of a request may have.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves one listening socket until it is told to stop.
+pub struct HttpServer {
+    listener: TcpListener,
+    handler: Arc<dyn HttpHandler>,
+    open: Arc<AtomicUsize>,
+}
+
+impl HttpServer {
+    /// Prepares to serve `listener` with `handler`.
+    pub fn new(listener: TcpListener, handler: Arc<dyn HttpHandler>) -> Self {
+        Self {
+            listener,
+            handler,
+            open: Arc::default(),
+        }
+    }
+
+    /// Returns a counter of the connections that are open.
+    pub fn open_connections(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.open)
+    }
+
+    /// Accepts until `stop`; requests in progress are finished after that.
+    pub async fn run(self, stop: StopSignal) {
+        loop {
+            let accepted = async { Some(self.listener.accept().await) };
+            let stopped = async {
+                stop.wait().await;
+                None
+            };
+            match accepted.or(stopped).await {
+                None => return,
+                Some(Ok((stream, _))) => self.serve(stream, stop.clone()),
+                Some(Err(_)) => {
+                    smol::Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, stop: StopSignal) {
+        let handler = Arc::clone(&self.handler);
+        let open = OpenConnection::count(&self.open);
+        runtime::spawn(async move {
+            let _open = open;
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let handler = Arc::clone(&handler);
+                async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(SmolTimer::new())
+                .header_read_timeout(HEAD_LIMIT)
+                .max_headers(MAX_HEADERS)
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(FuturesIo::new(stream), service);
+            let mut connection = pin!(connection);
+            let ended = async {
+                let _ = connection.as_mut().await;
+                true
+            };
+            let stopped = async {
+                stop.wait().await;
+                false
+            };
+            if ended.or(stopped).await {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn count(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/node/src/http/mod.rs
@@ -0,0 +1,17 @@
+//! HTTP over the runtime: a server for handlers and a pool of connections.
+
+mod http_handler;
+mod http_pool;
+mod http_reply;
+mod http_server;
+mod pooled_body;
+mod reply_body;
+
+pub use http_handler::HttpHandler;
+pub use http_pool::HttpPool;
+pub use http_reply::HttpReply;
+pub use http_server::HttpServer;
+pub use pooled_body::PooledBody;
+pub use reply_body::BodyError;
+pub use reply_body::ReplyBody;
+pub use reply_body::full_body;
--- /dev/null
+++ b/node/src/http/pooled_body.rs
@@ -0,0 +1,91 @@
+//! The body of an answer that came over a pooled connection.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use hyper::client::conn::http1::SendRequest;
+
+use super::BodyError;
+use super::HttpPool;
+
+/// Gives its connection back once it has been read to its end.
+///
+/// Dropped before, it closes the connection, so that a late answer can never
+/// be taken for that of another request.
+pub struct PooledBody {
+    incoming: Incoming,
+    address: SocketAddr,
+    pool: Arc<HttpPool>,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl PooledBody {
+    pub(super) fn new(
+        incoming: Incoming,
+        address: SocketAddr,
+        pool: Arc<HttpPool>,
+        sender: SendRequest<Full<Bytes>>,
+    ) -> Self {
+        let mut body = Self {
+            incoming,
+            address,
+            pool,
+            sender: Some(sender),
+        };
+        body.release_at_end();
+        body
+    }
+
+    fn release_at_end(&mut self) {
+        if !self.incoming.is_end_stream() {
+            return;
+        }
+        if let Some(sender) = self.sender.take() {
+            self.pool.give_back(self.address, sender);
+        }
+    }
+}
+
+impl Body for PooledBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        match polled {
+            Poll::Ready(Some(Err(error))) => {
+                self.sender = None;
+                Poll::Ready(Some(Err(BodyError(error.to_string()))))
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                self.release_at_end();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(None) => {
+                self.release_at_end();
+                Poll::Ready(None)
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/node/src/http/reply_body.rs
@@ -0,0 +1,21 @@
+//! The body of an answer.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::BoxBody;
+
+/// Failure while a body is read.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("the body ended early: {0}")]
+pub struct BodyError(pub String);
+
+/// Body of any kind of answer.
+pub type ReplyBody = BoxBody<Bytes, BodyError>;
+
+/// Returns a body that is there as a whole.
+pub fn full_body(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed()
+}
--- /dev/null
+++ b/node/src/peer/peer_socket.rs
@@ -0,0 +1,136 @@
+//! Questions and answers over one UDP socket.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use futures_lite::FutureExt;
+use jujuberoad::ids::Nonce;
+use jujuberoad::ids::RouterId;
+use jujuberoad::peer::MAX_FRAME_BYTES;
+use jujuberoad::peer::PEER_VERSION;
+use jujuberoad::peer::PeerFrame;
+use jujuberoad::peer::PeerMessage;
+use smol::channel;
+use smol::channel::Sender;
+use smol::net::UdpSocket;
+
+use super::PeerHandler;
+
+/// Sends frames to peers and sorts the incoming ones.
+pub struct PeerSocket {
+    own: RouterId,
+    socket: UdpSocket,
+    pending: Mutex<HashMap<Nonce, PendingAnswer>>,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+struct PendingAnswer {
+    peer: SocketAddr,
+    sender: Sender<PeerMessage>,
+}
+
+impl PeerSocket {
+    /// Binds to `address`.
+    pub async fn bind(own: RouterId, address: SocketAddr) -> std::io::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            own,
+            socket: UdpSocket::bind(address).await?,
+            pending: Mutex::default(),
+            sent_bytes: AtomicU64::new(0),
+            received_bytes: AtomicU64::new(0),
+        }))
+    }
+
+    /// Returns the bytes sent and received so far.
+    pub fn traffic_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed) + self.received_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Asks `peer` and waits for the answer until `deadline`.
+    pub async fn ask(
+        &self,
+        peer: SocketAddr,
+        message: PeerMessage,
+        deadline: Instant,
+    ) -> Option<PeerMessage> {
+        let exchange = fastrand::u64(..);
+        let (sender, receiver) = channel::bounded(1);
+        let pending = PendingAnswer { peer, sender };
+        self.pending
+            .lock()
+            .expect("pending lock")
+            .insert(exchange, pending);
+        self.send(peer, exchange, message).await;
+        let timer = async {
+            smol::Timer::at(deadline).await;
+            None
+        };
+        let answer = async { receiver.recv().await.ok() }.or(timer).await;
+        self.pending.lock().expect("pending lock").remove(&exchange);
+        answer
+    }
+
+    /// Answers the question with number `exchange`.
+    pub async fn answer(&self, peer: SocketAddr, exchange: Nonce, message: PeerMessage) {
+        self.send(peer, exchange, message).await;
+    }
+
+    /// Receives frames for ever and hands questions to `handler`.
+    pub async fn run(self: Arc<Self>, handler: Arc<dyn PeerHandler>) {
+        let mut buffer = vec![0; MAX_FRAME_BYTES];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            self.received_bytes
+                .fetch_add(length as u64, Ordering::Relaxed);
+            let Ok(frame) = postcard::from_bytes::<PeerFrame>(&buffer[..length]) else {
+                continue;
+            };
+            if frame.version != PEER_VERSION {
+                continue;
+            }
+            if !frame.message.is_answer() {
+                handler.question(&self, frame, from);
+                continue;
+            }
+            self.deliver(frame, from);
+        }
+    }
+
+    fn deliver(&self, frame: PeerFrame, from: SocketAddr) {
+        let mut pending = self.pending.lock().expect("pending lock");
+        let is_expected = pending
+            .get(&frame.exchange)
+            .is_some_and(|answer| answer.peer == from);
+        if !is_expected {
+            return;
+        }
+        if let Some(answer) = pending.remove(&frame.exchange) {
+            let _ = answer.sender.try_send(frame.message);
+        }
+    }
+
+    async fn send(&self, peer: SocketAddr, exchange: Nonce, message: PeerMessage) {
+        let sender = self.own.clone();
+        let frame = PeerFrame {
+            version: PEER_VERSION,
+            sender,
+            exchange,
+            message,
+        };
+        let Ok(bytes) = postcard::to_stdvec(&frame) else {
+            return;
+        };
+        // A datagram that is not sent is like one that is lost on its way.
+        if let Ok(sent) = self.socket.send_to(&bytes, peer).await {
+            self.sent_bytes.fetch_add(sent as u64, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/placer/src/main.rs
@@ -0,0 +1,46 @@
+//! `jujube-placer`: the placement daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use jujube_placer::PlacerDaemon;
+use jujuberoad_node::runtime;
+use jujuberoad_node::settings::NodeSettings;
+
+/// Placement daemon of jujuberoad: forms groups, replaces lost members and
+/// empties what has to leave.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} --settings /etc/jujube/placer.ini",
+    error_code(1, "The settings are refused."),
+    note = "SIGTERM stops the placer; another one takes its zones over."
+)]
+struct PlacerArgs {
+    /// settings file (INI)
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args: PlacerArgs = argh::from_env();
+    let settings = match NodeSettings::read(&args.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Err(error) = runtime::set_up_log(&settings.log_level) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    let threads = settings.threads;
+    match runtime::run(threads, PlacerDaemon::new(settings).run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/placer/src/reports_poll.rs
@@ -0,0 +1,39 @@
+//! Asks all engines of an availability zone for their reports.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::config::VmSpec;
+use jujuberoad::health::MemberReport;
+use jujuberoad_node::backends::EngineControl;
+use jujuberoad_node::runtime;
+use smol::channel;
+
+/// Time within which an engine must report.
+const REPORT_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Asks the engines of `vms` at the same time; silent ones are left out.
+pub(crate) async fn poll_reports(
+    control: &Arc<dyn EngineControl>,
+    vms: Vec<&VmSpec>,
+) -> Vec<MemberReport> {
+    let (sender, receiver) = channel::unbounded();
+    let deadline = Instant::now() + REPORT_LIMIT;
+    for vm in vms {
+        let control = Arc::clone(control);
+        let sender = sender.clone();
+        let address = vm.address;
+        runtime::spawn(async move {
+            if let Ok(report) = control.report(address, deadline).await {
+                let _ = sender.send(report).await;
+            }
+        });
+    }
+    drop(sender);
+    let mut reports = Vec::new();
+    while let Ok(report) = receiver.recv().await {
+        reports.push(report);
+    }
+    reports
+}
--- /dev/null
+++ b/placer/src/router_fold.rs
@@ -0,0 +1,97 @@
+//! Takes routers whose leases have lapsed off the agreed list.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::ids::RouterId;
+use jujuberoad::ids::ZoneId;
+use jujuberoad::membership::ROUTER_LEASE_MS;
+use jujuberoad::membership::RouterList;
+use jujuberoad_node::backends::StoreError;
+use spdlog::info;
+
+use crate::placer_core::PlacerCore;
+use crate::zone_lease::STORE_LIMIT;
+
+/// Time between two looks at the leases.
+const FOLD_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Folds the lapsed routers of one availability zone.
+///
+/// A router is folded only when its lease has been missing, in reads that all
+/// succeeded, for as long as a lease lasts. After an outage of the store, in
+/// which all leases lapse, this gives every router time to open a new one.
+#[derive(Debug)]
+pub(crate) struct RouterFold {
+    next_at: Instant,
+    missing_since: BTreeMap<RouterId, Instant>,
+}
+
+impl RouterFold {
+    /// Starts with nothing missing.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            next_at: now,
+            missing_since: BTreeMap::new(),
+        }
+    }
+
+    /// Looks at the leases when that is due.
+    pub(crate) async fn run(&mut self, core: &PlacerCore, zone: &ZoneId) -> Result<(), StoreError> {
+        let now = Instant::now();
+        if now < self.next_at {
+            return Ok(());
+        }
+        self.next_at = now + FOLD_PERIOD;
+        let found = self.find_lapsed(core, zone, now).await;
+        if found.is_err() {
+            self.missing_since.clear();
+        }
+        let Some((list, version, lapsed)) = found? else {
+            return Ok(());
+        };
+        let Some(folded) = list.without(&lapsed, fastrand::u64(..)) else {
+            return Ok(());
+        };
+        let value = serde_json::to_vec(&folded).unwrap_or_default().into();
+        let deadline = Instant::now() + STORE_LIMIT;
+        core.store
+            .put("routers", version, value, None, deadline)
+            .await?;
+        info!("fold: zone={zone} epoch={} gone={lapsed:?}", folded.epoch);
+        Ok(())
+    }
+
+    async fn find_lapsed(
+        &mut self,
+        core: &PlacerCore,
+        zone: &ZoneId,
+        now: Instant,
+    ) -> Result<Option<(RouterList, u64, BTreeSet<RouterId>)>, StoreError> {
+        let stored = core.store.get("routers", now + STORE_LIMIT).await?;
+        let Some(stored) = stored else {
+            return Ok(None);
+        };
+        let list: RouterList = serde_json::from_slice(&stored.bytes).unwrap_or_default();
+        let held = core
+            .store
+            .list("lease/router/", Instant::now() + STORE_LIMIT)
+            .await?;
+        let mut lapsed = BTreeSet::new();
+        for (router, entry) in &list.routers {
+            let has_lease = held.iter().any(|key| key.ends_with(&format!("/{router}")));
+            if has_lease || entry.zone != *zone {
+                self.missing_since.remove(router);
+                continue;
+            }
+            let since = *self.missing_since.entry(router.clone()).or_insert(now);
+            if now >= since + Duration::from_millis(ROUTER_LEASE_MS) {
+                lapsed.insert(router.clone());
+            }
+        }
+        let has_lapsed = !lapsed.is_empty();
+        Ok(has_lapsed.then_some((list, stored.version, lapsed)))
+    }
+}
--- /dev/null
+++ b/placer/src/zone_lease.rs
@@ -0,0 +1,106 @@
+//! The lease by which one placer is active in an availability zone.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::ids::Milliseconds;
+use jujuberoad::ids::ZoneId;
+use jujuberoad_node::backends::StoreError;
+use spdlog::info;
+
+use crate::placer_core::PlacerCore;
+use crate::zone_error::ZoneError;
+
+/// Time for which the lease lasts without renewal.
+const LEASE_MS: Milliseconds = 5_000;
+/// Time before the end of the lease at which its holder stops to act on it.
+const LEASE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Time between two renewals.
+const RENEW_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time within which the store must answer.
+pub(crate) const STORE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// A lease on an availability zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ZoneLease {
+    id: u64,
+    renewed_at: Instant,
+    acts_until: Instant,
+}
+
+impl ZoneLease {
+    /// Tries to become the active placer of `zone`.
+    pub(crate) async fn acquire(
+        core: &PlacerCore,
+        zone: &ZoneId,
+    ) -> Result<Option<Self>, ZoneError> {
+        let fail = |source| ZoneError::Store {
+            zone: zone.clone(),
+            step: "lease",
+            source,
+        };
+        let key = format!("lease/placer/{zone}");
+        let store = &core.store;
+        let held = store
+            .get(&key, Instant::now() + STORE_LIMIT)
+            .await
+            .map_err(fail)?;
+        if held.is_some() {
+            return Ok(None);
+        }
+        let asked_at = Instant::now();
+        let id = store
+            .open_lease(LEASE_MS, asked_at + STORE_LIMIT)
+            .await
+            .map_err(fail)?;
+        let holder = core.settings.id.to_string().into();
+        match store
+            .put(&key, 0, holder, Some(id), Instant::now() + STORE_LIMIT)
+            .await
+        {
+            Ok(_) => {
+                info!("lease: zone={zone} holder={}", core.settings.id);
+                Ok(Some(Self {
+                    id,
+                    renewed_at: asked_at,
+                    acts_until: acts_until(asked_at),
+                }))
+            }
+            Err(StoreError::Conflict { .. }) => Ok(None),
+            Err(source) => Err(fail(source)),
+        }
+    }
+
+    /// Tells whether the holder may act on the lease at `now`.
+    pub(crate) fn is_held(&self, now: Instant) -> bool {
+        now < self.acts_until
+    }
+
+    /// Renews the lease when that is due; fails when it has lapsed.
+    pub(crate) async fn renew(
+        &mut self,
+        core: &PlacerCore,
+        zone: &ZoneId,
+    ) -> Result<(), ZoneError> {
+        let asked_at = Instant::now();
+        if asked_at < self.renewed_at + RENEW_PERIOD {
+            return Ok(());
+        }
+        let renewed = core
+            .store
+            .renew_lease(self.id, asked_at + STORE_LIMIT)
+            .await;
+        renewed.map_err(|source| ZoneError::Store {
+            zone: zone.clone(),
+            step: "lease",
+            source,
+        })?;
+        self.renewed_at = asked_at;
+        self.acts_until = acts_until(asked_at);
+        Ok(())
+    }
+}
+
+fn acts_until(asked_at: Instant) -> Instant {
+    asked_at + Duration::from_millis(LEASE_MS) - LEASE_MARGIN
+}
--- /dev/null
+++ b/placer/src/zone_orders.rs
@@ -0,0 +1,60 @@
+//! Orders that make engines do what the placement record says.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::config::FleetConfig;
+use jujuberoad::health::MemberReport;
+use jujuberoad::placement::EngineOrder;
+use jujuberoad::placement::PlacementRecord;
+use jujuberoad_node::runtime;
+use spdlog::info;
+use spdlog::warn;
+
+use crate::placer_core::PlacerCore;
+use crate::zone_lease::ZoneLease;
+
+/// Time within which an engine must take an order.
+pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Orders every engine whose report differs from the record.
+///
+/// The lease is checked once more before each order leaves, because not all
+/// engines refuse orders with an old fence.
+pub(crate) fn give_orders(
+    core: &Arc<PlacerCore>,
+    lease: &ZoneLease,
+    config: &FleetConfig,
+    record: &PlacementRecord,
+    reports: &[MemberReport],
+) {
+    for report in reports {
+        let Some(spec) = config.vms.get(&report.vm) else {
+            continue;
+        };
+        let order = match record.group_of(&report.vm) {
+            Some(group) => EngineOrder::join(&report.vm, group, record.fence),
+            None => EngineOrder::unload(&report.vm, record.fence),
+        };
+        if order.is_met_by(report) {
+            continue;
+        }
+        let core = Arc::clone(core);
+        let lease = *lease;
+        let address = spec.address;
+        runtime::spawn(async move {
+            let now = Instant::now();
+            if !lease.is_held(now) {
+                return;
+            }
+            info!(
+                "order: vm={} group={:?} generation={} model={:?} version={:?} fence={}",
+                order.vm, order.group, order.generation, order.model, order.version, order.fence
+            );
+            if let Err(problem) = core.control.order(address, &order, now + ORDER_LIMIT).await {
+                warn!("order: vm={} failed: {problem}", order.vm);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/router/src/home_poller.rs
@@ -0,0 +1,65 @@
+//! Polls the engines of the targets to which this router is home.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::health::REPORT_POLL_MS;
+use jujuberoad::routing::RouteTarget;
+use jujuberoad_node::runtime;
+use spdlog::debug;
+
+use crate::router_core::RouterCore;
+
+/// Time within which an engine must report.
+const REPORT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time between two looks at which targets are due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Starts to poll.
+pub(crate) fn start(core: Arc<RouterCore>) {
+    runtime::spawn(poll_for_ever(core));
+}
+
+async fn poll_for_ever(core: Arc<RouterCore>) {
+    let mut round: u64 = 0;
+    loop {
+        let now = Instant::now();
+        let view = core.board.view();
+        core.homes.sync(&view, &core.settings.id, now);
+        let ticks = REPORT_POLL_MS / TICK.as_millis() as u64;
+        for (index, name) in core.homes.targets().iter().enumerate() {
+            let Some(target) = view.table.get(name) else {
+                continue;
+            };
+            core.homes.judge(target, now);
+            if (round + index as u64).is_multiple_of(ticks) {
+                poll(&core, target);
+            }
+        }
+        round += 1;
+        smol::Timer::at(now + TICK).await;
+    }
+}
+
+fn poll(core: &Arc<RouterCore>, target: &RouteTarget) {
+    let members = target.group.iter().flat_map(|group| &group.members);
+    let addresses: Vec<SocketAddr> = match &target.group {
+        Some(_) => members.map(|member| member.address).collect(),
+        None => vec![target.address],
+    };
+    for address in addresses {
+        runtime::spawn(poll_one(Arc::clone(core), target.clone(), address));
+    }
+}
+
+async fn poll_one(core: Arc<RouterCore>, target: RouteTarget, address: SocketAddr) {
+    let polled_at = Instant::now();
+    match core.control.report(address, polled_at + REPORT_LIMIT).await {
+        Ok(report) => core
+            .homes
+            .record(report, &target, polled_at, Instant::now()),
+        Err(problem) => debug!("home: poll for target={} failed: {problem}", target.target),
+    }
+}
--- /dev/null
+++ b/router/src/model_call.rs
@@ -0,0 +1,438 @@
+//! A request to a model: attempts, retries and the answer.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use jujuberoad::config::LimitSpec;
+use jujuberoad::ids::Milliseconds;
+use jujuberoad::ids::TargetId;
+use jujuberoad::outcome::Outcome;
+use jujuberoad::routing::AttemptFailure;
+use jujuberoad::routing::ChoiceHint;
+use jujuberoad::routing::ModelName;
+use jujuberoad::routing::RetryStep;
+use jujuberoad_node::http::ReplyBody;
+use jujuberoad_node::http::full_body;
+use serde_json::Value;
+use serde_json::json;
+use spdlog::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::acquire_error::AcquireError;
+use crate::caller_request::CallerRequest;
+use crate::caller_request::deadline_after;
+use crate::held_slot::HeldSlot;
+use crate::problem_reply::OUTCOME_HEADER;
+use crate::problem_reply::ProblemReply;
+use crate::problem_reply::REQUEST_HEADER;
+use crate::router_core::RouterCore;
+use crate::slot_demand::SlotDemand;
+use crate::slot_desk::SlotAsk;
+use crate::token_event::TokenEvent;
+use crate::token_event::TokenReader;
+use crate::token_stream::ResumePoint;
+use crate::token_stream::TokenStream;
+
+/// Header by which a target says why it refused a request before running it.
+pub(crate) const REFUSED_HEADER: &str = "jujube-refused";
+/// Silences that are allowed before the first token.
+const FIRST_TOKEN_SILENCES: u64 = 3;
+/// Largest whole answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Bytes at the start of a prompt that count as its prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// A request to a model.
+pub(crate) struct ModelCall {
+    pub(crate) core: Arc<RouterCore>,
+    pub(crate) request: CallerRequest,
+    /// Time after which a stream without a token counts as silent.
+    pub(crate) silence_limit_ms: Milliseconds,
+    name: ModelName,
+    body: Value,
+    hint: ChoiceHint,
+}
+
+/// A stream whose first event has arrived.
+pub(crate) struct OpenStream {
+    pub(crate) held: HeldSlot,
+    pub(crate) reader: TokenReader,
+    pub(crate) first: TokenEvent,
+}
+
+/// How an attempt ended without an answer.
+enum AttemptEnd {
+    /// No slot was found.
+    NoSlot(AcquireError),
+    /// The attempt failed on a target.
+    Failed {
+        failure: AttemptFailure,
+        target: TargetId,
+        message: String,
+    },
+    /// The target answered with an error of its own.
+    Answered(Response<ReplyBody>),
+}
+
+impl ModelCall {
+    /// Checks the body of a request to a model.
+    pub(crate) fn parse(
+        core: Arc<RouterCore>,
+        request: CallerRequest,
+        limits: &LimitSpec,
+    ) -> Result<Arc<Self>, ProblemReply> {
+        let refuse = |detail: String| ProblemReply::not_run(StatusCode::BAD_REQUEST, detail);
+        let body: Value = serde_json::from_slice(&request.body)
+            .map_err(|error| refuse(format!("the body is not JSON: {error}")))?;
+        let model = body.get("model").and_then(Value::as_str);
+        let model = model.ok_or_else(|| refuse("key \"model\" is missing".to_owned()))?;
+        if !(body["messages"].is_array() || body["prompt"].is_string()) {
+            return Err(refuse("expected \"messages\" or \"prompt\"".to_owned()));
+        }
+        let name = ModelName::parse(model);
+        let hint = ChoiceHint {
+            prefix: prefix_of(&body),
+        };
+        let silence_limit_ms = limits.silence_limit_ms;
+        Ok(Arc::new(Self {
+            core,
+            request,
+            silence_limit_ms,
+            name,
+            body,
+            hint,
+        }))
+    }
+
+    /// Returns the model that the request names.
+    pub(crate) fn name(&self) -> &ModelName {
+        &self.name
+    }
+
+    /// Runs the request and returns its answer.
+    pub(crate) async fn run(self: Arc<Self>) -> Response<ReplyBody> {
+        self.core.slots.earn_retry();
+        let wants_stream = self.body["stream"] == Value::Bool(true);
+        let result = if wants_stream {
+            let opened = self.open_stream(None, ResumePoint::default()).await;
+            opened.map(|stream| self.stream_answer(stream))
+        } else {
+            self.whole_answer().await
+        };
+        result.unwrap_or_else(|end| self.final_answer(end))
+    }
+
+    /// Opens a stream at `point`, retrying while that is allowed.
+    pub(crate) async fn open_stream(
+        self: &Arc<Self>,
+        mut avoid: Option<TargetId>,
+        point: ResumePoint,
+    ) -> Result<OpenStream, FinalEnd> {
+        let mut fresh = avoid.is_some();
+        loop {
+            let end = match self.try_stream(avoid.as_ref(), &point, fresh).await {
+                Ok(stream) => return Ok(stream),
+                Err(end) => end,
+            };
+            avoid = Some(self.after(end)?);
+            fresh = true;
+        }
+    }
+
+    async fn whole_answer(self: &Arc<Self>) -> Result<Response<ReplyBody>, FinalEnd> {
+        let mut avoid = None;
+        loop {
+            let end = match self.try_whole(avoid.as_ref()).await {
+                Ok(response) => return Ok(response),
+                Err(end) => end,
+            };
+            avoid = Some(self.after(end)?);
+        }
+    }
+
+    /// Decides what follows a failed attempt; returns the target to avoid.
+    fn after(&self, end: AttemptEnd) -> Result<TargetId, FinalEnd> {
+        let (failure, target, message) = match end {
+            AttemptEnd::NoSlot(error) => return Err(FinalEnd::NoSlot(error)),
+            AttemptEnd::Answered(response) => return Err(FinalEnd::Answered(response)),
+            AttemptEnd::Failed {
+                failure,
+                target,
+                message,
+            } => (failure, target, message),
+        };
+        let request = &self.request.id;
+        let may_retry = self.core.slots.spend_retry();
+        let now = Instant::now();
+        match failure.next_step(true, may_retry, self.request.deadline, now) {
+            RetryStep::Retry => {
+                info!("retry: request={request} failed={target} reason={message:?}");
+                Ok(target)
+            }
+            RetryStep::End(outcome) => Err(FinalEnd::Failed { outcome, message }),
+        }
+    }
+
+    async fn try_stream(
+        &self,
+        avoid: Option<&TargetId>,
+        point: &ResumePoint,
+        fresh: bool,
+    ) -> Result<OpenStream, AttemptEnd> {
+        let held = self.slot(avoid).await?;
+        let body = self.target_body(point, true);
+        let first_by = self.first_token_by();
+        let response = self.send(&held, body, fresh, first_by).await?;
+        let mut reader = TokenReader::new(response.into_body());
+        let first = reader.next(first_by).await;
+        if let TokenEvent::Lost(message) = first {
+            return Err(failed(&held, true, false, message));
+        }
+        Ok(OpenStream {
+            held,
+            reader,
+            first,
+        })
+    }
+
+    async fn try_whole(&self, avoid: Option<&TargetId>) -> Result<Response<ReplyBody>, AttemptEnd> {
+        let held = self.slot(avoid).await?;
+        let body = self.target_body(&ResumePoint::default(), false);
+        let fresh = avoid.is_some();
+        let response = self.send(&held, body, fresh, self.request.deadline).await?;
+        let timer = async {
+            smol::Timer::at(self.request.deadline).await;
+            Err("the answer was not complete in time".to_owned())
+        };
+        let read = async {
+            let collected = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await;
+            collected
+                .map(|body| body.to_bytes())
+                .map_err(|error| error.to_string())
+        };
+        let bytes = read
+            .or(timer)
+            .await
+            .map_err(|message| failed(&held, true, false, message))?;
+        if !self.is_own_answer(&bytes) {
+            let message = "the answer belongs to another request".to_owned();
+            return Err(failed(&held, true, false, message));
+        }
+        self.log_end(&held);
+        Ok(self.answer("application/json", full_body(bytes)))
+    }
+
+    /// Waits for a slot and checks it once more at the last moment.
+    async fn slot(&self, avoid: Option<&TargetId>) -> Result<HeldSlot, AttemptEnd> {
+        loop {
+            let ask = SlotAsk {
+                demand: SlotDemand::Model(self.name.clone()),
+                ticket: self.request.ticket(),
+                hint: self.hint,
+                avoid: avoid.cloned(),
+            };
+            let held = self
+                .core
+                .slots
+                .acquire(ask)
+                .await
+                .map_err(AttemptEnd::NoSlot)?;
+            if held.may_send(Instant::now()) {
+                let (request, target) = (&self.request.id, held.target());
+                info!(
+                    "route: request={request} team={} class={} target={} zone={} {}",
+                    self.request.team.team,
+                    self.request.class,
+                    target.target,
+                    target.zone,
+                    held.reason()
+                );
+                return Ok(held);
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        held: &HeldSlot,
+        body: Bytes,
+        fresh: bool,
+        head_by: Instant,
+    ) -> Result<Response<ReplyBody>, AttemptEnd> {
+        let target = held.target();
+        let request = self.target_request(held, body);
+        let request = request.map_err(|error| failed(held, false, false, error.to_string()))?;
+        let sent = self
+            .core
+            .data
+            .send(target.address, request, fresh, head_by)
+            .await;
+        let response =
+            sent.map_err(|error| failed(held, error.was_sent, false, error.to_string()))?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        if let Some(refused) = response.headers().get(REFUSED_HEADER) {
+            held.cut_back();
+            let message = format!("the target refused the request: {refused:?}");
+            return Err(failed(held, true, true, message));
+        }
+        if response.status().is_server_error() {
+            let message = format!("the target answered with status {}", response.status());
+            return Err(failed(held, true, false, message));
+        }
+        Err(AttemptEnd::Answered(response))
+    }
+
+    fn target_request(
+        &self,
+        held: &HeldSlot,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+        let target = held.target();
+        let left = self
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
+        Request::builder()
+            .method(self.request.method.clone())
+            .uri(&self.request.path)
+            .header("host", target.address.to_string())
+            .header("content-type", "application/json")
+            .header(REQUEST_HEADER, self.request.id.as_str())
+            .header("jujube-group", target.target.as_str())
+            .header("jujube-generation", target.generation)
+            .header("jujube-class", self.request.class.to_string())
+            .header("jujube-deadline-ms", left.as_millis().to_string())
+            .body(Full::new(body))
+    }
+
+    fn target_body(&self, point: &ResumePoint, stream: bool) -> Bytes {
+        if point.from == 0 && self.body["stream"] == Value::Bool(stream) {
+            return self.request.body.clone();
+        }
+        let mut body = self.body.clone();
+        body["stream"] = Value::Bool(stream);
+        if point.from > 0 {
+            body["jujube_resume"] = json!({ "from": point.from, "text": point.text });
+        }
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+
+    fn first_token_by(&self) -> Instant {
+        let limit_ms = FIRST_TOKEN_SILENCES * self.silence_limit_ms;
+        deadline_after(Instant::now(), limit_ms).min(self.request.deadline)
+    }
+
+    fn is_own_answer(&self, bytes: &[u8]) -> bool {
+        let answer: Option<Value> = serde_json::from_slice(bytes).ok();
+        answer.is_some_and(|answer| answer["id"] == *self.request.id)
+    }
+
+    fn stream_answer(self: &Arc<Self>, stream: OpenStream) -> Response<ReplyBody> {
+        let body = TokenStream::start(Arc::clone(self), stream);
+        self.answer("text/event-stream", body)
+    }
+
+    fn answer(&self, content_type: &str, body: ReplyBody) -> Response<ReplyBody> {
+        let response = Response::builder()
+            .header("content-type", content_type)
+            .header(OUTCOME_HEADER, <&str>::from(Outcome::Answered))
+            .header(REQUEST_HEADER, self.request.id.as_str());
+        response
+            .body(body)
+            .unwrap_or_else(|_| Response::new(full_body("")))
+    }
+
+    fn log_end(&self, held: &HeldSlot) {
+        let target = &held.target().target;
+        info!(
+            "end: request={} target={target} outcome=answered",
+            self.request.id
+        );
+        self.core.metrics.count("requests.answered");
+    }
+
+    fn final_answer(&self, end: FinalEnd) -> Response<ReplyBody> {
+        let request = &self.request.id;
+        let problem = match end {
+            FinalEnd::Answered(mut response) => {
+                let outcome = <&str>::from(Outcome::Answered);
+                let headers = response.headers_mut();
+                headers.insert(
+                    OUTCOME_HEADER,
+                    hyper::header::HeaderValue::from_static(outcome),
+                );
+                return response;
+            }
+            FinalEnd::NoSlot(error) => no_slot_problem(&error),
+            FinalEnd::Failed { outcome, message } => ProblemReply {
+                status: StatusCode::BAD_GATEWAY,
+                outcome,
+                detail: message,
+                retry_at: Some(deadline_after(Instant::now(), 1_000)),
+            },
+        };
+        info!(
+            "end: request={request} outcome={} reason={:?}",
+            problem.outcome, problem.detail
+        );
+        self.core.metrics.count("requests.failed");
+        problem.into_response(request)
+    }
+}
+
+/// Why a request gets no answer from a target.
+pub(crate) enum FinalEnd {
+    /// No slot was found.
+    NoSlot(AcquireError),
+    /// All attempts failed.
+    Failed { outcome: Outcome, message: String },
+    /// The target answered with an error of its own.
+    Answered(Response<ReplyBody>),
+}
+
+/// Returns the answer to a request for which no slot was found.
+pub(crate) fn no_slot_problem(error: &AcquireError) -> ProblemReply {
+    let status = match error {
+        AcquireError::Queue(_) => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    ProblemReply::not_run(status, error.to_string()).with_retry_at(error.retry_at())
+}
+
+fn failed(held: &HeldSlot, was_sent: bool, was_refused: bool, message: String) -> AttemptEnd {
+    let failure = AttemptFailure {
+        was_sent,
+        was_refused,
+    };
+    AttemptEnd::Failed {
+        failure,
+        target: held.target().target.clone(),
+        message,
+    }
+}
+
+/// Hashes the start of a prompt, which requests with the same context share.
+fn prefix_of(body: &Value) -> Option<u64> {
+    let text = match &body["prompt"] {
+        Value::String(prompt) => prompt.clone(),
+        _ => body["messages"]
+            .get(0)?
+            .get("content")?
+            .as_str()?
+            .to_owned(),
+    };
+    let end = text.len().min(PREFIX_BYTES);
+    Some(xxh3_64(&text.as_bytes()[..end]))
+}
--- /dev/null
+++ b/router/src/outage_watch.rs
@@ -0,0 +1,116 @@
+//! Asks peers about the store when this router no longer hears from it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::membership::OutageVote;
+use jujuberoad::membership::PeerVote;
+use jujuberoad::membership::RouterEntry;
+use jujuberoad::peer::PeerMessage;
+use jujuberoad_node::runtime;
+use spdlog::warn;
+
+use crate::router_core::RouterCore;
+
+/// Time without word from the store after which it does not count as reached.
+const STORE_SILENCE: Duration = Duration::from_millis(2_000);
+/// Time between two rounds of questions.
+const VOTE_PERIOD: Duration = Duration::from_millis(250);
+/// Time within which a peer must answer.
+const VOTE_LIMIT: Duration = Duration::from_millis(400);
+/// Peers asked in one round.
+const PEERS_PER_ROUND: usize = 64;
+
+/// Collects the votes of peers while the store is silent.
+pub(crate) struct OutageWatch {
+    core: Arc<RouterCore>,
+    vote: Mutex<OutageVote>,
+}
+
+impl OutageWatch {
+    /// Starts to watch.
+    pub(crate) fn start(core: Arc<RouterCore>) {
+        let watch = Arc::new(Self {
+            core,
+            vote: Mutex::default(),
+        });
+        runtime::spawn(watch.run());
+    }
+
+    async fn run(self: Arc<Self>) {
+        let mut first = 0;
+        let mut was_in_outage = false;
+        loop {
+            smol::Timer::after(VOTE_PERIOD).await;
+            if own_vote(&self.core).reaches_store {
+                was_in_outage = false;
+                continue;
+            }
+            first = self.ask_peers(first);
+            let is_in_outage = self.decide();
+            if is_in_outage && !was_in_outage {
+                warn!("view: most routers agree that the store is out; the last records stand");
+            }
+            was_in_outage = is_in_outage;
+        }
+    }
+
+    /// Asks the next peers in turn; returns where the next round begins.
+    fn ask_peers(self: &Arc<Self>, first: usize) -> usize {
+        let view = self.core.board.view();
+        let own = &self.core.settings.id;
+        let peers: Vec<&RouterEntry> = view
+            .list
+            .routers
+            .values()
+            .filter(|entry| entry.router != *own)
+            .collect();
+        for offset in 0..peers.len().min(PEERS_PER_ROUND) {
+            let peer = peers[(first + offset) % peers.len()].clone();
+            runtime::spawn(Arc::clone(self).ask(peer));
+        }
+        first.wrapping_add(PEERS_PER_ROUND)
+    }
+
+    async fn ask(self: Arc<Self>, peer: RouterEntry) {
+        let asked_at = Instant::now();
+        let deadline = asked_at + VOTE_LIMIT;
+        let answer = self
+            .core
+            .peers
+            .ask(peer.peer, PeerMessage::Ping, deadline)
+            .await;
+        let Some(PeerMessage::Pong { vote, .. }) = answer else {
+            return;
+        };
+        self.vote
+            .lock()
+            .expect("vote lock")
+            .record(peer.router, vote, asked_at);
+    }
+
+    fn decide(&self) -> bool {
+        let now = Instant::now();
+        let view = self.core.board.view();
+        let own = &self.core.settings.id;
+        let board = &self.core.board;
+        let held = board.with_guard(|guard| guard.held().clone());
+        let vote = self.vote.lock().expect("vote lock");
+        let Some(until) = vote.outage_until(&view.list, own, &held, now) else {
+            return false;
+        };
+        board.with_guard(|guard| guard.allow_outage(until));
+        true
+    }
+}
+
+/// Returns what this router tells its peers about the store.
+pub(crate) fn own_vote(core: &RouterCore) -> PeerVote {
+    let now = Instant::now();
+    core.board.with_guard(|guard| PeerVote {
+        reaches_store: guard.reaches_store(STORE_SILENCE, now),
+        held: guard.held().clone(),
+    })
+}
--- /dev/null
+++ b/router/src/peer_desk.rs
@@ -0,0 +1,70 @@
+//! Answers questions of peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::peer::PeerFrame;
+use jujuberoad::peer::PeerMessage;
+use jujuberoad_node::peer::PeerHandler;
+use jujuberoad_node::peer::PeerSocket;
+use jujuberoad_node::runtime;
+
+use crate::outage_watch::own_vote;
+use crate::router_core::RouterCore;
+use crate::slot_courier::answer_request;
+
+/// Answers on behalf of one router.
+pub(crate) struct PeerDesk {
+    core: Arc<RouterCore>,
+}
+
+impl PeerDesk {
+    pub(crate) fn new(core: Arc<RouterCore>) -> Arc<Self> {
+        Arc::new(Self { core })
+    }
+}
+
+impl PeerHandler for PeerDesk {
+    fn question(&self, socket: &Arc<PeerSocket>, frame: PeerFrame, from: SocketAddr) {
+        let core = Arc::clone(&self.core);
+        let socket = Arc::clone(socket);
+        runtime::spawn(async move {
+            let Some(answer) = answer(&core, frame.message).await else {
+                return;
+            };
+            socket.answer(from, frame.exchange, answer).await;
+        });
+    }
+}
+
+async fn answer(core: &Arc<RouterCore>, question: PeerMessage) -> Option<PeerMessage> {
+    let now = Instant::now();
+    match question {
+        PeerMessage::Ping => {
+            let confirmed = core.board.with_guard(|guard| guard.confirmations(now));
+            Some(PeerMessage::Pong {
+                confirmed,
+                vote: own_vote(core),
+            })
+        }
+        PeerMessage::SlotRequest(request) => {
+            answer_request(core, &request).map(PeerMessage::SlotGrant)
+        }
+        PeerMessage::Claim {
+            key,
+            nonce,
+            patience_ms,
+        } => {
+            let deadline = now + Duration::from_millis(patience_ms);
+            let reply = core.claims.claim_here(core, key, nonce, deadline).await?;
+            Some(PeerMessage::ClaimReply(reply))
+        }
+        PeerMessage::Settle { key, nonce, answer } => {
+            let is_taken = core.claims.settle_here(core, key, nonce, answer);
+            is_taken.then_some(PeerMessage::Settled)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/router/src/router_core.rs
@@ -0,0 +1,55 @@
+//! What all parts of a router share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use jujuberoad::ids::Incarnation;
+use jujuberoad::membership::RouterEntry;
+use jujuberoad_node::backends::BackendClock;
+use jujuberoad_node::backends::DataPath;
+use jujuberoad_node::backends::EngineControl;
+use jujuberoad_node::backends::PlatformStore;
+use jujuberoad_node::peer::PeerSocket;
+use jujuberoad_node::runtime::MetricSink;
+use jujuberoad_node::settings::NodeSettings;
+
+use crate::claim_desk::ClaimDesk;
+use crate::home_desk::HomeDesk;
+use crate::slot_desk::SlotDesk;
+use crate::view_board::ViewBoard;
+
+/// Settings, borders to the outside and the state of one router.
+pub(crate) struct RouterCore {
+    pub(crate) settings: NodeSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) store: Arc<dyn PlatformStore>,
+    pub(crate) control: Arc<dyn EngineControl>,
+    pub(crate) data: Arc<dyn DataPath>,
+    pub(crate) clock: Arc<dyn BackendClock>,
+    pub(crate) peers: Arc<PeerSocket>,
+    pub(crate) metrics: MetricSink,
+    pub(crate) board: Arc<ViewBoard>,
+    pub(crate) slots: Arc<SlotDesk>,
+    pub(crate) homes: HomeDesk,
+    pub(crate) claims: ClaimDesk,
+    pub(crate) stopping: AtomicBool,
+}
+
+impl RouterCore {
+    /// Returns this router's entry for the agreed list.
+    pub(crate) fn entry(&self) -> RouterEntry {
+        RouterEntry {
+            router: self.settings.id.clone(),
+            incarnation: self.incarnation,
+            zone: self.settings.zone.clone(),
+            peer: self.settings.peer,
+            http: self.settings.http,
+        }
+    }
+
+    /// Tells whether the router has been asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/router/src/router_daemon.rs
@@ -0,0 +1,153 @@
+//! Puts a router together and runs it.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+use jujuberoad::routing::PrefixChooser;
+use jujuberoad_node::backends::HttpDataPath;
+use jujuberoad_node::backends::HttpEngineControl;
+use jujuberoad_node::backends::HttpPlatformStore;
+use jujuberoad_node::backends::SystemClock;
+use jujuberoad_node::http::HttpPool;
+use jujuberoad_node::http::HttpServer;
+use jujuberoad_node::peer::PeerSocket;
+use jujuberoad_node::runtime;
+use jujuberoad_node::runtime::MetricSink;
+use jujuberoad_node::runtime::StopSignal;
+use jujuberoad_node::settings::NodeSettings;
+use smol::channel;
+use smol::net::TcpListener;
+use spdlog::info;
+
+use crate::caller_api::CallerApi;
+use crate::claim_desk::ClaimDesk;
+use crate::home_desk::HomeDesk;
+use crate::home_poller;
+use crate::lease_keeper;
+use crate::lease_keeper::LeaseKeeper;
+use crate::outage_watch::OutageWatch;
+use crate::peer_desk::PeerDesk;
+use crate::router_core::RouterCore;
+use crate::slot_courier;
+use crate::slot_desk::SlotDesk;
+use crate::view_board::ViewBoard;
+use crate::view_keeper::ViewKeeper;
+
+/// Time between failed readiness and the end of accepting, in which the
+/// platform's balancer notices.
+const READINESS_GRACE: Duration = Duration::from_millis(2_000);
+/// Longest time for which requests in progress are waited for.
+const STOP_LIMIT: Duration = Duration::from_secs(300);
+/// Time between two looks at whether requests are in progress.
+const STOP_TICK: Duration = Duration::from_millis(20);
+
+/// A step at which a router could not start.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("router {router}: {step} failed")]
+pub struct StartError {
+    router: String,
+    step: &'static str,
+}
+
+/// A router with its settings.
+pub struct RouterDaemon {
+    settings: NodeSettings,
+}
+
+impl RouterDaemon {
+    /// Prepares a router.
+    pub fn new(settings: NodeSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Runs the router until it is asked to end and has finished its work.
+    pub async fn run(self) -> Result<(), Report<StartError>> {
+        let fail = |step| StartError {
+            router: self.settings.id.to_string(),
+            step,
+        };
+        let listener = TcpListener::bind(self.settings.http)
+            .await
+            .change_context_lazy(|| fail("listening for callers"))?;
+        let peers = PeerSocket::bind(self.settings.id.clone(), self.settings.peer)
+            .await
+            .change_context_lazy(|| fail("listening for peers"))?;
+        let metrics = MetricSink::open("jujube.router", self.settings.statsd)
+            .change_context_lazy(|| fail("opening the metrics sink"))?;
+        let (shortage_sender, shortage) = channel::bounded(1);
+        let core = build_core(self.settings.clone(), peers, metrics, shortage_sender);
+        let (trigger, stop) = StopSignal::new();
+        let server = HttpServer::new(listener, CallerApi::new(Arc::clone(&core)));
+        let open = server.open_connections();
+        runtime::spawn(server.run(stop));
+        start_parts(&core, shortage);
+        info!(
+            "start: router={} http={}",
+            core.settings.id, core.settings.http
+        );
+        StopSignal::terminated()
+            .await
+            .change_context_lazy(|| fail("waiting for signals"))?;
+
+        info!("stop: router={} finishes its requests", core.settings.id);
+        core.stopping.store(true, Ordering::Relaxed);
+        smol::Timer::after(READINESS_GRACE).await;
+        lease_keeper::leave_list(&core).await;
+        drop(trigger);
+        let give_up_at = Instant::now() + STOP_LIMIT;
+        while open.load(Ordering::Relaxed) > 0 && Instant::now() < give_up_at {
+            smol::Timer::after(STOP_TICK).await;
+        }
+        info!("stop: router={} has ended", core.settings.id);
+        Ok(())
+    }
+}
+
+fn build_core(
+    settings: NodeSettings,
+    peers: Arc<PeerSocket>,
+    metrics: MetricSink,
+    shortage: channel::Sender<()>,
+) -> Arc<RouterCore> {
+    let pool = HttpPool::new();
+    let board = Arc::new(ViewBoard::default());
+    let incarnation = fastrand::u64(..);
+    let slots = SlotDesk::new(
+        settings.id.clone(),
+        settings.zone.clone(),
+        incarnation,
+        Arc::clone(&board),
+        Box::new(PrefixChooser),
+        shortage,
+    );
+    Arc::new(RouterCore {
+        incarnation,
+        store: Arc::new(HttpPlatformStore::new(HttpPool::new(), settings.platform)),
+        control: Arc::new(HttpEngineControl::new(HttpPool::new())),
+        data: Arc::new(HttpDataPath::new(pool)),
+        clock: Arc::new(SystemClock),
+        peers,
+        metrics,
+        board,
+        slots,
+        homes: HomeDesk::default(),
+        claims: ClaimDesk::default(),
+        stopping: AtomicBool::new(false),
+        settings,
+    })
+}
+
+fn start_parts(core: &Arc<RouterCore>, shortage: channel::Receiver<()>) {
+    let desk = PeerDesk::new(Arc::clone(core));
+    runtime::spawn(Arc::clone(&core.peers).run(desk));
+    ViewKeeper::start(Arc::clone(core));
+    OutageWatch::start(Arc::clone(core));
+    LeaseKeeper::start(Arc::clone(core));
+    home_poller::start(Arc::clone(core));
+    slot_courier::start(Arc::clone(core), shortage);
+}
--- /dev/null
+++ b/router/src/router_view.rs
@@ -0,0 +1,75 @@
+//! A router's view of the records, as one consistent value.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use jujuberoad::config::FleetConfig;
+use jujuberoad::ids::Revision;
+use jujuberoad::ids::TargetId;
+use jujuberoad::ids::ZoneId;
+use jujuberoad::membership::HomeTable;
+use jujuberoad::membership::RouterEntry;
+use jujuberoad::membership::RouterList;
+use jujuberoad::placement::PlacementRecord;
+use jujuberoad::routing::RouteTable;
+
+/// The records of one moment and what follows from them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RouterView {
+    /// Revision of the configuration; 0 before the first one.
+    pub(crate) revision: Revision,
+    /// The configuration; nothing before the first one.
+    pub(crate) config: Option<FleetConfig>,
+    /// The agreed list of routers.
+    pub(crate) list: RouterList,
+    /// Placement records by availability zone.
+    pub(crate) placements: BTreeMap<ZoneId, PlacementRecord>,
+    /// Targets that follow from configuration and placement.
+    pub(crate) table: RouteTable,
+    homes: HashMap<TargetId, TargetHomes>,
+}
+
+/// Routers that answer for a target.
+#[derive(Clone, Debug)]
+struct TargetHomes {
+    home: RouterEntry,
+    standby: Option<RouterEntry>,
+}
+
+impl RouterView {
+    /// Derives the table of targets and their homes anew.
+    pub(crate) fn derive(&mut self) {
+        let Some(config) = &self.config else { return };
+        self.table = RouteTable::build(config, &self.placements);
+        let homes = HomeTable::new(&self.list);
+        self.homes.clear();
+        for target in self.table.iter() {
+            let Some(home) = homes.home(&target.target, &target.zone) else {
+                continue;
+            };
+            let standby = homes.standby(&target.target, &target.zone).cloned();
+            let pair = TargetHomes {
+                home: home.clone(),
+                standby,
+            };
+            self.homes.insert(target.target.clone(), pair);
+        }
+    }
+
+    /// Returns the home of a target.
+    pub(crate) fn home(&self, target: &str) -> Option<&RouterEntry> {
+        self.homes.get(target).map(|pair| &pair.home)
+    }
+
+    /// Returns the router that stands in for the home of a target.
+    pub(crate) fn standby(&self, target: &str) -> Option<&RouterEntry> {
+        self.homes
+            .get(target)
+            .and_then(|pair| pair.standby.as_ref())
+    }
+
+    /// Returns the home of a claim shard.
+    pub(crate) fn shard_home(&self, shard: u64) -> Option<&RouterEntry> {
+        HomeTable::new(&self.list).home(&format!("claims/{shard}"), "")
+    }
+}
--- /dev/null
+++ b/router/src/slot_desk.rs
@@ -0,0 +1,503 @@
+//! Slots and queues of one router.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::admission::FairQueue;
+use jujuberoad::admission::QueueTicket;
+use jujuberoad::admission::RequestClass;
+use jujuberoad::admission::RetryBudget;
+use jujuberoad::admission::WaitQueue;
+use jujuberoad::ids::Incarnation;
+use jujuberoad::ids::RouterId;
+use jujuberoad::ids::TargetId;
+use jujuberoad::ids::ZoneId;
+use jujuberoad::membership::ViewKey;
+use jujuberoad::routing::ChoiceHint;
+use jujuberoad::routing::RouteTarget;
+use jujuberoad::routing::TargetChooser;
+use jujuberoad::routing::TargetLoad;
+use jujuberoad::slots::SlotGrant;
+use jujuberoad::slots::SlotPermit;
+use jujuberoad::slots::SlotRequest;
+use jujuberoad::slots::SlotWallet;
+use jujuberoad::slots::WalletState;
+use smol::channel;
+use smol::channel::Sender;
+
+use crate::acquire_error::AcquireError;
+use crate::held_slot::HeldSlot;
+use crate::router_view::RouterView;
+use crate::slot_demand::SlotDemand;
+use crate::view_board::ViewBoard;
+
+/// Targets that are asked for slots at a time on behalf of one queue.
+const TARGETS_ASKED: usize = 2;
+/// Most slots that are asked for at a time.
+const MAX_WANTED: u32 = 64;
+/// Part of the slots of a target that requests of the lowest class leave free.
+const URGENT_DIVISOR: u32 = 4;
+/// Targets passed over that are named in the log.
+const MAX_PASSED_OVER: usize = 3;
+/// Time after which callers come back when nothing could serve them.
+const RETRY_PAUSE: Duration = Duration::from_secs(2);
+
+/// Hands slots to requests and keeps the ones that wait.
+pub(crate) struct SlotDesk {
+    own: RouterId,
+    zone: ZoneId,
+    incarnation: Incarnation,
+    board: Arc<ViewBoard>,
+    chooser: Box<dyn TargetChooser>,
+    state: Mutex<DeskState>,
+    shortage: Sender<()>,
+}
+
+#[derive(Default)]
+struct DeskState {
+    wallets: HashMap<TargetId, SlotWallet>,
+    queues: BTreeMap<SlotDemand, Box<dyn WaitQueue>>,
+    waiters: HashMap<u64, SlotWaiter>,
+    served: HashMap<u64, SlotChoice>,
+    next_id: u64,
+    budget: RetryBudget,
+}
+
+struct SlotWaiter {
+    hint: ChoiceHint,
+    avoid: Option<TargetId>,
+    sender: Sender<()>,
+}
+
+/// A slot that has been found for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct SlotChoice {
+    /// The permit.
+    pub(crate) permit: SlotPermit,
+    /// The target as it is at this moment.
+    pub(crate) target: RouteTarget,
+    /// Better targets on which there was no slot.
+    pub(crate) passed_over: Vec<TargetId>,
+}
+
+/// A request for one slot.
+#[derive(Clone, Debug)]
+pub(crate) struct SlotAsk {
+    /// What the slot is for.
+    pub(crate) demand: SlotDemand,
+    /// Place in the queue; its `id` is given by the desk.
+    pub(crate) ticket: QueueTicket,
+    /// What the choice depends on.
+    pub(crate) hint: ChoiceHint,
+    /// Target that has just failed the request.
+    pub(crate) avoid: Option<TargetId>,
+}
+
+impl SlotDesk {
+    /// Opens the desk of router `own`; `shortage` is signalled when slots are
+    /// to be asked for.
+    pub(crate) fn new(
+        own: RouterId,
+        zone: ZoneId,
+        incarnation: Incarnation,
+        board: Arc<ViewBoard>,
+        chooser: Box<dyn TargetChooser>,
+        shortage: Sender<()>,
+    ) -> Arc<Self> {
+        let state = Mutex::default();
+        Arc::new(Self {
+            own,
+            zone,
+            incarnation,
+            board,
+            chooser,
+            state,
+            shortage,
+        })
+    }
+
+    /// Waits for a slot; the ticket's deadline bounds the wait.
+    pub(crate) async fn acquire(self: &Arc<Self>, ask: SlotAsk) -> Result<HeldSlot, AcquireError> {
+        let now = Instant::now();
+        let expires_at = ask.ticket.expires_at;
+        let view = self.board.view();
+        self.check_service(&view, &ask.demand, now)?;
+        let (sender, receiver) = channel::bounded(1);
+        let id = self.enqueue(&view, ask, sender, now)?;
+        let wait = WaitEnd { desk: self, id };
+        let timer = async {
+            smol::Timer::at(expires_at).await;
+            Err(channel::RecvError)
+        };
+        // An error means that the request was turned away or that its time is up.
+        let _ = futures_lite::future::or(receiver.recv(), timer).await;
+        let Some(choice) = wait.take_served() else {
+            return Err(AcquireError::Expired {
+                retry_at: Instant::now() + RETRY_PAUSE,
+            });
+        };
+        Ok(HeldSlot::new(choice, Arc::clone(self)))
+    }
+
+    /// Tells whether a retry may be made, and pays for it.
+    pub(crate) fn spend_retry(&self) -> bool {
+        self.state.lock().expect("desk lock").budget.spend()
+    }
+
+    /// Notes the first attempt of a request.
+    pub(crate) fn earn_retry(&self) {
+        self.state.lock().expect("desk lock").budget.earn();
+    }
+
+    /// Takes a slot back and hands it to the request that is next.
+    pub(crate) fn finish(&self, target: &TargetId) {
+        let mut state = self.state.lock().expect("desk lock");
+        if let Some(wallet) = state.wallets.get_mut(target) {
+            wallet.finish();
+        }
+        let view = self.board.view();
+        self.serve_waiting(&mut state, &view, Instant::now());
+    }
+
+    /// Forgets the grant of a target.
+    pub(crate) fn cut_back(&self, target: &TargetId) {
+        let mut state = self.state.lock().expect("desk lock");
+        if let Some(wallet) = state.wallets.get_mut(target) {
+            wallet.cut_back();
+        }
+    }
+
+    /// Applies a grant and serves the requests that wait.
+    pub(crate) fn apply(&self, grant: &SlotGrant) {
+        let mut state = self.state.lock().expect("desk lock");
+        let Some(wallet) = state.wallets.get_mut(&grant.target) else {
+            return;
+        };
+        wallet.apply(grant);
+        let view = self.board.view();
+        self.serve_waiting(&mut state, &view, Instant::now());
+    }
+
+    /// Returns the requests for slots that are due now.
+    pub(crate) fn due_requests(&self, now: Instant) -> Vec<SlotRequest> {
+        let view = self.board.view();
+        let mut state = self.state.lock().expect("desk lock");
+        state.turn_away_expired(now);
+        let mut wanted = self.wanted_slots(&mut state, &view, now);
+        for (name, wallet) in &state.wallets {
+            if wallet.is_renewal_due(now) && !wanted.contains_key(name) {
+                let limit = view.table.get(name).map_or(0, |target| target.slots);
+                wanted.insert(name.clone(), wallet.cushion(limit));
+            }
+        }
+        let mut requests = Vec::new();
+        for (name, count) in wanted {
+            let Some(wallet) = state.wallets.get_mut(&name) else {
+                continue;
+            };
+            requests.push(wallet.request(view.list.epoch, count, now));
+        }
+        state
+            .wallets
+            .retain(|name, wallet| wallet.in_use() > 0 || view.table.get(name).is_some());
+        requests
+    }
+
+    /// Returns how many requests wait.
+    pub(crate) fn waiting(&self) -> usize {
+        let state = self.state.lock().expect("desk lock");
+        state.queues.values().map(|queue| queue.len()).sum()
+    }
+
+    fn check_service(
+        &self,
+        view: &RouterView,
+        demand: &SlotDemand,
+        now: Instant,
+    ) -> Result<(), AcquireError> {
+        let retry_at = now + RETRY_PAUSE;
+        if !self.board.is_fresh(&[ViewKey::Config], now) {
+            return Err(AcquireError::StaleView { retry_at });
+        }
+        if self.candidates(view, demand, now).is_empty() {
+            return Err(AcquireError::NoTarget { retry_at });
+        }
+        Ok(())
+    }
+
+    fn enqueue(
+        &self,
+        view: &RouterView,
+        ask: SlotAsk,
+        sender: Sender<()>,
+        now: Instant,
+    ) -> Result<u64, AcquireError> {
+        let mut state = self.state.lock().expect("desk lock");
+        state.next_id += 1;
+        let id = state.next_id;
+        let queue = state
+            .queues
+            .entry(ask.demand)
+            .or_insert_with(|| Box::<FairQueue>::default());
+        queue.push(QueueTicket { id, ..ask.ticket }, now)?;
+        state.waiters.insert(
+            id,
+            SlotWaiter {
+                hint: ask.hint,
+                avoid: ask.avoid,
+                sender,
+            },
+        );
+        self.serve_waiting(&mut state, view, now);
+        if state.waiters.contains_key(&id) {
+            let _ = self.shortage.try_send(());
+        }
+        Ok(id)
+    }
+
+    /// Hands spare slots to requests that wait, in the order of their queues.
+    fn serve_waiting(&self, state: &mut DeskState, view: &RouterView, now: Instant) {
+        let DeskState {
+            wallets,
+            queues,
+            waiters,
+            served,
+            ..
+        } = state;
+        for (demand, queue) in queues {
+            if queue.is_empty() {
+                continue;
+            }
+            let candidates = self.candidates(view, demand, now);
+            while let Some(lowest) = lowest_servable(&candidates, wallets, now) {
+                let Some(ticket) = queue.pop(lowest, now) else {
+                    break;
+                };
+                let Some(waiter) = waiters.remove(&ticket.id) else {
+                    continue;
+                };
+                let class = ticket.class;
+                let Some(choice) = self.choose(&candidates, wallets, &waiter, class, now) else {
+                    break;
+                };
+                served.insert(ticket.id, choice);
+                let _ = waiter.sender.try_send(());
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        candidates: &[&RouteTarget],
+        wallets: &mut HashMap<TargetId, SlotWallet>,
+        waiter: &SlotWaiter,
+        class: RequestClass,
+        now: Instant,
+    ) -> Option<SlotChoice> {
+        let loads = self.loads(candidates, wallets, now);
+        let mut order = self.chooser.rank(&loads, &waiter.hint);
+        order.sort_by_key(|index| waiter.avoid.as_ref() == Some(&loads[*index].target));
+        let mut passed_over = Vec::new();
+        for index in order {
+            let target = candidates[index];
+            let wallet = wallets.get_mut(&target.target);
+            let wallet = wallet.filter(|wallet| usable(wallet, target, class, now) > 0);
+            if let Some(permit) = wallet.and_then(|wallet| wallet.take(target.generation, now)) {
+                return Some(SlotChoice {
+                    permit,
+                    target: target.clone(),
+                    passed_over,
+                });
+            }
+            if passed_over.len() < MAX_PASSED_OVER {
+                passed_over.push(target.target.clone());
+            }
+        }
+        None
+    }
+
+    /// Returns for each target how many slots to ask for on behalf of the queues.
+    fn wanted_slots(
+        &self,
+        state: &mut DeskState,
+        view: &RouterView,
+        now: Instant,
+    ) -> BTreeMap<TargetId, u32> {
+        let mut wanted = BTreeMap::new();
+        let DeskState {
+            wallets, queues, ..
+        } = state;
+        for (demand, queue) in queues {
+            if queue.is_empty() {
+                continue;
+            }
+            let candidates = self.candidates(view, demand, now);
+            let loads = self.loads(&candidates, wallets, now);
+            let count = u32::try_from(queue.len())
+                .unwrap_or(MAX_WANTED)
+                .min(MAX_WANTED);
+            let mut asked = 0;
+            for index in self.chooser.rank(&loads, &ChoiceHint::default()) {
+                let name = &candidates[index].target;
+                let wallet = wallets
+                    .entry(name.clone())
+                    .or_insert_with(|| self.wallet(name));
+                if asked == TARGETS_ASKED {
+                    break;
+                }
+                if !wallet.may_ask(now) {
+                    continue;
+                }
+                wanted.insert(name.clone(), count);
+                asked += 1;
+            }
+        }
+        wanted
+    }
+
+    fn wallet(&self, target: &TargetId) -> SlotWallet {
+        SlotWallet::new(target.clone(), self.own.clone(), self.incarnation)
+    }
+
+    /// Returns the targets that the records allow to be used.
+    fn candidates<'a>(
+        &self,
+        view: &'a RouterView,
+        demand: &SlotDemand,
+        now: Instant,
+    ) -> Vec<&'a RouteTarget> {
+        let mut candidates = Vec::new();
+        for target in view.table.serving(&demand.kind()) {
+            if target.closed.is_some() || !demand.is_met_by(target) {
+                continue;
+            }
+            if self.is_view_fresh(target, now) {
+                candidates.push(target);
+            }
+        }
+        candidates
+    }
+
+    /// Tells whether the newest records still allow work on `target` as it was.
+    pub(crate) fn is_open(&self, target: &RouteTarget, now: Instant) -> bool {
+        let view = self.board.view();
+        let newest = view.table.get(&target.target);
+        let is_same = newest.is_some_and(|newest| {
+            newest.closed.is_none()
+                && newest.generation == target.generation
+                && newest.address == target.address
+        });
+        is_same && self.is_view_fresh(target, now)
+    }
+
+    /// Tells whether the records on which work on `target` rests are recent.
+    fn is_view_fresh(&self, target: &RouteTarget, now: Instant) -> bool {
+        if target.group.is_none() {
+            return self.board.is_fresh(&[ViewKey::Config], now);
+        }
+        let placement = ViewKey::Placement(target.zone.clone());
+        self.board.is_fresh(&[ViewKey::Config, placement], now)
+    }
+
+    fn loads(
+        &self,
+        candidates: &[&RouteTarget],
+        wallets: &HashMap<TargetId, SlotWallet>,
+        now: Instant,
+    ) -> Vec<TargetLoad> {
+        let mut loads = Vec::with_capacity(candidates.len());
+        for target in candidates {
+            let wallet = wallets.get(&target.target);
+            loads.push(TargetLoad {
+                target: target.target.clone(),
+                is_near: target.zone == self.zone,
+                state: wallet.map_or(WalletState::Unknown, |wallet| wallet.state(now)),
+                spare: wallet.map_or(0, |wallet| wallet.spare(target.generation, now)),
+                free: wallet.map_or(0, SlotWallet::free_at_home),
+                in_use: wallet.map_or(0, SlotWallet::in_use),
+                slots: target.slots,
+            });
+        }
+        loads
+    }
+}
+
+impl DeskState {
+    fn turn_away_expired(&mut self, now: Instant) {
+        for queue in self.queues.values_mut() {
+            for ticket in queue.expire(now) {
+                self.waiters.remove(&ticket.id);
+            }
+        }
+    }
+}
+
+/// The wait of one request; leaves nothing behind when it is dropped.
+struct WaitEnd<'a> {
+    desk: &'a SlotDesk,
+    id: u64,
+}
+
+impl WaitEnd<'_> {
+    fn take_served(&self) -> Option<SlotChoice> {
+        self.desk
+            .state
+            .lock()
+            .expect("desk lock")
+            .served
+            .remove(&self.id)
+    }
+}
+
+impl Drop for WaitEnd<'_> {
+    fn drop(&mut self) {
+        let mut state = self.desk.state.lock().expect("desk lock");
+        if let Some(choice) = state.served.remove(&self.id) {
+            drop(state);
+            self.desk.finish(&choice.permit.target);
+            return;
+        }
+        if state.waiters.remove(&self.id).is_none() {
+            return;
+        }
+        for queue in state.queues.values_mut() {
+            if queue.cancel(self.id) {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns the slots of a wallet that a request of `class` may take.
+fn usable(wallet: &SlotWallet, target: &RouteTarget, class: RequestClass, now: Instant) -> u32 {
+    let spare = wallet.spare(target.generation, now);
+    match class {
+        RequestClass::Counter => spare,
+        RequestClass::Receipt => spare.saturating_sub(wallet.slots() / URGENT_DIVISOR),
+    }
+}
+
+/// Returns the lowest class for which some target has a slot.
+fn lowest_servable(
+    candidates: &[&RouteTarget],
+    wallets: &HashMap<TargetId, SlotWallet>,
+    now: Instant,
+) -> Option<RequestClass> {
+    let mut lowest = None;
+    for target in candidates {
+        let Some(wallet) = wallets.get(&target.target) else {
+            continue;
+        };
+        if usable(wallet, target, RequestClass::Receipt, now) > 0 {
+            return Some(RequestClass::Receipt);
+        }
+        if usable(wallet, target, RequestClass::Counter, now) > 0 {
+            lowest = Some(RequestClass::Counter);
+        }
+    }
+    lowest
+}
--- /dev/null
+++ b/router/src/status_page.rs
@@ -0,0 +1,59 @@
+//! What a router says about itself.
+
+use std::time::Instant;
+
+use jujuberoad::membership::ViewKey;
+use serde::Serialize;
+
+use crate::router_core::RouterCore;
+
+/// The body of `/status`.
+#[derive(Serialize)]
+pub(crate) struct StatusPage {
+    router: String,
+    zone: String,
+    revision: u64,
+    epoch: u64,
+    view_is_fresh: bool,
+    store_is_out: bool,
+    is_stopping: bool,
+    waiting: usize,
+    peer_traffic_bytes: u64,
+    homes: Vec<HomeStatus>,
+}
+
+#[derive(Serialize)]
+struct HomeStatus {
+    target: String,
+    state: String,
+}
+
+impl StatusPage {
+    /// Describes the router at this moment.
+    pub(crate) fn of(core: &RouterCore) -> Self {
+        let now = Instant::now();
+        let view = core.board.view();
+        let mut homes = Vec::new();
+        for (target, gate) in core.homes.verdicts() {
+            homes.push(HomeStatus {
+                target: target.to_string(),
+                state: gate.to_string(),
+            });
+        }
+        homes.sort_by(|left, right| left.target.cmp(&right.target));
+        Self {
+            router: core.settings.id.to_string(),
+            zone: core.settings.zone.to_string(),
+            revision: view.revision,
+            epoch: view.list.epoch,
+            view_is_fresh: core
+                .board
+                .is_fresh(&[ViewKey::Config, ViewKey::Routers], now),
+            store_is_out: core.board.with_guard(|guard| guard.is_in_outage(now)),
+            is_stopping: core.is_stopping(),
+            waiting: core.slots.waiting(),
+            peer_traffic_bytes: core.peers.traffic_bytes(),
+            homes,
+        }
+    }
+}
--- /dev/null
+++ b/router/src/token_event.rs
@@ -0,0 +1,110 @@
+//! One event of an engine's stream.
+
+use std::borrow::Cow;
+use std::time::Instant;
+
+use eventsource_stream::EventStream;
+use eventsource_stream::Eventsource;
+use futures_lite::FutureExt;
+use futures_lite::StreamExt;
+use http_body_util::BodyDataStream;
+use http_body_util::BodyExt;
+use jujuberoad_node::http::ReplyBody;
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+/// Data of the event that ends a stream.
+pub(crate) const DONE_DATA: &str = "[DONE]";
+
+/// What has come next in a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TokenEvent {
+    /// A token.
+    Token {
+        /// Request to which the engine says it belongs.
+        request: SmolStr,
+        /// Place of the token in the answer, from 0.
+        index: u64,
+        /// Text of the token.
+        text: String,
+        /// The event's data.
+        data: String,
+    },
+    /// The end of a whole answer.
+    Done,
+    /// The stream is silent, cut off or makes no sense.
+    Lost(String),
+}
+
+/// Reads the events of one attempt.
+pub(crate) struct TokenReader {
+    events: EventStream<BodyDataStream<ReplyBody>>,
+}
+
+#[derive(Deserialize)]
+struct ChunkData<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    jujube_index: u64,
+    #[serde(borrow)]
+    choices: Vec<ChunkChoice<'a>>,
+}
+
+#[derive(Deserialize)]
+struct ChunkChoice<'a> {
+    #[serde(borrow, default)]
+    delta: ChunkDelta<'a>,
+    #[serde(borrow, default)]
+    text: Cow<'a, str>,
+}
+
+#[derive(Default, Deserialize)]
+struct ChunkDelta<'a> {
+    #[serde(borrow, default)]
+    content: Cow<'a, str>,
+}
+
+impl TokenReader {
+    /// Reads the events in `body`.
+    pub(crate) fn new(body: ReplyBody) -> Self {
+        Self {
+            events: body.into_data_stream().eventsource(),
+        }
+    }
+
+    /// Waits for the next event until `deadline`.
+    pub(crate) async fn next(&mut self, deadline: Instant) -> TokenEvent {
+        let timer = async {
+            smol::Timer::at(deadline).await;
+            TokenEvent::Lost("no token came in time".to_owned())
+        };
+        let read = async {
+            match self.events.next().await {
+                None => TokenEvent::Lost("the stream ended before its answer".to_owned()),
+                Some(Err(error)) => TokenEvent::Lost(error.to_string()),
+                Some(Ok(event)) if event.data == DONE_DATA => TokenEvent::Done,
+                Some(Ok(event)) => decode(event.data),
+            }
+        };
+        read.or(timer).await
+    }
+}
+
+fn decode(data: String) -> TokenEvent {
+    let chunk: ChunkData<'_> = match serde_json::from_str(&data) {
+        Ok(chunk) => chunk,
+        Err(error) => return TokenEvent::Lost(format!("an event makes no sense: {error}")),
+    };
+    let request = SmolStr::from(chunk.id.as_ref());
+    let index = chunk.jujube_index;
+    let choice = chunk.choices.first();
+    let text = choice.map_or_else(String::new, |choice| {
+        format!("{}{}", choice.delta.content, choice.text)
+    });
+    TokenEvent::Token {
+        request,
+        index,
+        text,
+        data,
+    }
+}
