placement: the term of a placer is a state machine of its own

Cause: fence, compare-and-swap and settling of lost answers stood among the input and output of the placer, where no test under virtual time reaches them. Change: PlacerTerm and LeaseTerm in lib; reports carry their age; lost requests on a cold target are only freed by a count that cannot hide them.

--- a/lab/src/standins/engine_handler.rs
+++ b/lab/src/standins/engine_handler.rs
@@ -67,12 +67,16 @@
         })
     }
 
-    fn begin(&self, headers: &HeaderMap, body: &Value) -> Result<EngineRun, Response<ReplyBody>> {
+    fn begin(
+        &self,
+        headers: &HeaderMap,
+        body: &Value,
+    ) -> Result<EngineRun, Box<Response<ReplyBody>>> {
         let now = Instant::now();
         let mut engine = self.engine.lock().expect("engine lock");
         if let Some(refused) = refusal(&engine, headers, now) {
             engine.counts.refused += 1;
-            return Err(refused);
+            return Err(Box::new(refused));
         }
         engine.begin(now);
         let vm = engine.vm.to_string();
@@ -96,7 +100,7 @@
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let run = match self.begin(&head.headers, &body) {
             Ok(run) => run,
-            Err(refused) => return refused,
+            Err(refused) => return *refused,
         };
         let wants_stream = body["stream"] == Value::Bool(true);
         let (sender, receiver) = channel::bounded::<Result<Bytes, BodyError>>(4);
--- a/lab/src/standins/engine_state.rs
+++ b/lab/src/standins/engine_state.rs
@@ -135,6 +135,7 @@
             version: self.order.version.clone(),
             phase: self.phase(now),
             in_flight: self.counts.in_flight,
+            age_ms: 0,
             fence: self.order.fence,
         }
     }
--- a/lab/src/standins/service_handler.rs
+++ b/lab/src/standins/service_handler.rs
@@ -63,6 +63,7 @@
             version: "".into(),
             phase: EnginePhase::Warm,
             in_flight: *self.in_flight.lock().expect("count lock"),
+            age_ms: 0,
             fence: 0,
         }
     }
--- a/lib/src/admission/fair_queue.rs
+++ b/lib/src/admission/fair_queue.rs
@@ -108,7 +108,7 @@
 
     fn cancel(&mut self, id: u64) -> bool {
         for lane in self.lanes.values_mut() {
-            for ticket in lane.take_where(|ticket| ticket.id == id) {
+            if let Some(ticket) = lane.take_where(|ticket| ticket.id == id).pop() {
                 release_team(&mut self.waiting, &ticket.team);
                 return true;
             }
--- a/lib/src/health/member_report.rs
+++ b/lib/src/health/member_report.rs
@@ -9,6 +9,7 @@
 use crate::ids::Generation;
 use crate::ids::GroupId;
 use crate::ids::Incarnation;
+use crate::ids::Milliseconds;
 use crate::ids::VmId;
 
 /// A load report of one engine or plain endpoint.
@@ -30,6 +31,9 @@
     pub phase: EnginePhase,
     /// Requests in progress.
     pub in_flight: u64,
+    /// Time since these values were sampled, in milliseconds.
+    #[serde(default)]
+    pub age_ms: Milliseconds,
     /// Highest fence of an order that it has taken.
     pub fence: Fence,
 }
--- a/lib/src/health/report_table.rs
+++ b/lib/src/health/report_table.rs
@@ -17,21 +17,26 @@
 #[derive(Clone, Debug)]
 struct ReportRow {
     report: MemberReport,
-    polled_at: Instant,
+    sampled_at: Instant,
 }
 
 impl ReportTable {
     /// Takes the answer to a poll that was sent at `polled_at`.
     ///
-    /// An answer to an earlier poll than the one on record is ignored, so that
-    /// late answers never replace newer ones.
+    /// The report counts from when its values were sampled, which is no later
+    /// than its age before the poll. An answer with older values than the one on
+    /// record is ignored, so that late answers never replace newer ones.
     pub fn record(&mut self, report: MemberReport, polled_at: Instant) {
+        let age = Duration::from_millis(report.age_ms);
+        let Some(sampled_at) = polled_at.checked_sub(age) else {
+            return;
+        };
         let row = self.rows.get(&report.vm);
-        if row.is_some_and(|row| row.polled_at > polled_at) {
+        if row.is_some_and(|row| row.sampled_at > sampled_at) {
             return;
         }
         self.rows
-            .insert(report.vm.clone(), ReportRow { report, polled_at });
+            .insert(report.vm.clone(), ReportRow { report, sampled_at });
     }
 
     /// Returns the report of `vm` if it still counts at `now`.
@@ -45,9 +50,9 @@
         self.rows.get(vm).map(ReportRow::fresh_until)
     }
 
-    /// Returns when the report of `vm` was asked for.
-    pub fn polled_at(&self, vm: &str) -> Option<Instant> {
-        self.rows.get(vm).map(|row| row.polled_at)
+    /// Returns when the values in the report of `vm` were sampled at the latest.
+    pub fn sampled_at(&self, vm: &str) -> Option<Instant> {
+        self.rows.get(vm).map(|row| row.sampled_at)
     }
 
     /// Forgets the engines that `keep` does not want.
@@ -58,6 +63,6 @@
 
 impl ReportRow {
     fn fresh_until(&self) -> Instant {
-        self.polled_at + Duration::from_millis(REPORT_VALID_MS)
+        self.sampled_at + Duration::from_millis(REPORT_VALID_MS)
     }
 }
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -3,6 +3,7 @@
 
 mod confirmed_version;
 mod home_table;
+mod lease_term;
 mod outage_vote;
 mod relay_plan;
 mod router_entry;
@@ -14,6 +15,7 @@
 pub use confirmed_version::ConfirmedVersion;
 pub use home_table::HomeTable;
 pub(crate) use home_table::rendezvous_score;
+pub use lease_term::LeaseTerm;
 pub use outage_vote::OutageVote;
 pub use outage_vote::PeerVote;
 pub use relay_plan::RelayPlan;
--- a/lib/src/slots/slot_home.rs
+++ b/lib/src/slots/slot_home.rs
@@ -86,18 +86,27 @@
         self.gate = gate;
     }
 
-    /// Takes an engine's count of requests in progress, asked for at `polled_at`.
-    pub fn observe_load(&mut self, in_flight: u64, polled_at: Instant, now: Instant) {
+    /// Takes an engine's count of requests in progress, sampled at `sampled_at`.
+    ///
+    /// On a target in cold start, all requests that the engine still counts may
+    /// be lost ones. On a warm one, those that routers are known to have are
+    /// taken off, so that a busy target does not strand the lost slots.
+    pub fn observe_load(&mut self, in_flight: u64, sampled_at: Instant, now: Instant) {
         self.expire(now);
-        let Some(since) = self.lost_since else { return };
-        if polled_at <= since || polled_at < self.grants_from {
+        let Some(since) = self.lost_since else {
+            return;
+        };
+        if sampled_at <= since || sampled_at < self.grants_from {
             return;
         }
-        let known: u64 = self
-            .holders
-            .values()
-            .map(|holder| u64::from(holder.in_use))
-            .sum();
+        let known: u64 = match self.gate {
+            GateState::Warm { .. } => self
+                .holders
+                .values()
+                .map(|holder| u64::from(holder.in_use))
+                .sum(),
+            _ => 0,
+        };
         let unknown = in_flight.saturating_sub(known).min(u64::from(self.lost));
         self.lost = u32::try_from(unknown).unwrap_or(u32::MAX);
         if self.lost == 0 {
--- a/lib/src/slots/slot_wallet.rs
+++ b/lib/src/slots/slot_wallet.rs
@@ -164,7 +164,7 @@
 
     /// Returns the next request for the home or, when that is silent, for its standby.
     pub fn request(&mut self, epoch: Epoch, wanted: u32, now: Instant) -> SlotRequest {
-        let is_to_standby = self.is_home_silent() && self.misses % 2 == 0;
+        let is_to_standby = self.is_home_silent() && self.misses.is_multiple_of(2);
         self.epoch = epoch;
         self.number += 1;
         self.misses = self.misses.saturating_add(1);
--- a/placer/src/zone_lease.rs
+++ b/placer/src/zone_lease.rs
@@ -5,6 +5,7 @@
 
 use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::ZoneId;
+use jujuberoad::membership::LeaseTerm;
 use jujuberoad_node::backends::StoreError;
 use spdlog::info;
 
@@ -14,9 +15,7 @@
 /// Time for which the lease lasts without renewal.
 const LEASE_MS: Milliseconds = 5_000;
 /// Time before the end of the lease at which its holder stops to act on it.
-const LEASE_MARGIN: Duration = Duration::from_millis(1_000);
-/// Time between two renewals.
-const RENEW_PERIOD: Duration = Duration::from_millis(1_500);
+const LEASE_MARGIN_MS: Milliseconds = 1_000;
 /// Time within which the store must answer.
 pub(crate) const STORE_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -24,8 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ZoneLease {
     id: u64,
-    renewed_at: Instant,
-    acts_until: Instant,
+    term: LeaseTerm,
 }
 
 impl ZoneLease {
@@ -60,11 +58,8 @@
         {
             Ok(_) => {
                 info!("lease: zone={zone} holder={}", core.settings.id);
-                Ok(Some(Self {
-                    id,
-                    renewed_at: asked_at,
-                    acts_until: acts_until(asked_at),
-                }))
+                let term = LeaseTerm::begin(LEASE_MS, LEASE_MARGIN_MS, asked_at);
+                Ok(Some(Self { id, term }))
             }
             Err(StoreError::Conflict { .. }) => Ok(None),
             Err(source) => Err(fail(source)),
@@ -73,7 +68,7 @@
 
     /// Tells whether the holder may act on the lease at `now`.
     pub(crate) fn is_held(&self, now: Instant) -> bool {
-        now < self.acts_until
+        self.term.is_held(now)
     }
 
     /// Renews the lease when that is due; fails when it has lapsed.
@@ -83,7 +78,7 @@
         zone: &ZoneId,
     ) -> Result<(), ZoneError> {
         let asked_at = Instant::now();
-        if asked_at < self.renewed_at + RENEW_PERIOD {
+        if !self.term.is_renewal_due(asked_at) {
             return Ok(());
         }
         let renewed = core
@@ -95,12 +90,7 @@
             step: "lease",
             source,
         })?;
-        self.renewed_at = asked_at;
-        self.acts_until = acts_until(asked_at);
+        self.term.renewed(asked_at);
         Ok(())
     }
 }
-
-fn acts_until(asked_at: Instant) -> Instant {
-    asked_at + Duration::from_millis(LEASE_MS) - LEASE_MARGIN
-}
--- a/placer/src/zone_orders.rs
+++ b/placer/src/zone_orders.rs
@@ -7,6 +7,7 @@
 use jujuberoad::config::FleetConfig;
 use jujuberoad::health::MemberReport;
 use jujuberoad::placement::EngineOrder;
+use jujuberoad::placement::ORDER_LIMIT_MS;
 use jujuberoad::placement::PlacementRecord;
 use jujuberoad_node::runtime;
 use spdlog::info;
@@ -15,9 +16,6 @@
 use crate::placer_core::PlacerCore;
 use crate::zone_lease::ZoneLease;
 
-/// Time within which an engine must take an order.
-pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(1_000);
-
 /// Orders every engine whose report differs from the record.
 ///
 /// The lease is checked once more before each order leaves, because not all
@@ -52,7 +50,11 @@
                 "order: vm={} group={:?} generation={} model={:?} version={:?} fence={}",
                 order.vm, order.group, order.generation, order.model, order.version, order.fence
             );
-            if let Err(problem) = core.control.order(address, &order, now + ORDER_LIMIT).await {
+            if let Err(problem) = core
+                .control
+                .order(address, &order, now + Duration::from_millis(ORDER_LIMIT_MS))
+                .await
+            {
                 warn!("order: vm={} failed: {problem}", order.vm);
             }
         });
--- a/placer/src/zone_placer.rs
+++ b/placer/src/zone_placer.rs
@@ -17,9 +17,14 @@
 use jujuberoad::membership::VIEW_VALID_MS;
 use jujuberoad::placement::DrainClock;
 use jujuberoad::placement::PlacementRecord;
+use jujuberoad::placement::PlacementWrite;
+use jujuberoad::placement::PlacerTerm;
 use jujuberoad::placement::PlanInput;
 use jujuberoad::placement::ReplicaShare;
+use jujuberoad::placement::TermStep;
+use jujuberoad::placement::VM_MISSING_MS;
 use jujuberoad::placement::VmStatus;
+use jujuberoad::placement::WriteAnswer;
 use jujuberoad_node::backends::VmListing;
 use serde::de::DeserializeOwned;
 use spdlog::info;
@@ -31,13 +36,10 @@
 use crate::zone_error::ZoneError;
 use crate::zone_lease::STORE_LIMIT;
 use crate::zone_lease::ZoneLease;
-use crate::zone_orders::ORDER_LIMIT;
 use crate::zone_orders::give_orders;
 
 /// Time between two rounds.
 const ROUND_PERIOD: Duration = Duration::from_millis(500);
-/// Time without a report after which a VM counts as missing.
-const MISSING_LIMIT: Duration = Duration::from_millis(3_000);
 /// Time for which a placer of another zone lets the zone's own placers go first.
 const FOREIGN_DELAY: Duration = Duration::from_millis(2_000);
 
@@ -53,15 +55,6 @@
     free_since: Option<Instant>,
 }
 
-/// The time of office of an active placer.
-#[derive(Clone, Debug)]
-struct PlacerTerm {
-    record: PlacementRecord,
-    version: StoreVersion,
-    orders_from: Instant,
-    listens_until: Instant,
-}
-
 #[derive(Clone, Debug)]
 struct HeardReport {
     report: MemberReport,
@@ -107,17 +100,15 @@
         let Some(config) = self.read_config().await? else {
             return Ok(());
         };
-        if self.term.is_none() {
-            self.begin_term().await?;
-        }
+        self.begin_term().await?;
         let reports = self.hear(&config).await;
         let listings = self.read_listings().await?;
         self.place(&config, &listings).await?;
         let now = Instant::now();
         if let (Some(lease), Some(term)) = (&self.lease, &self.term)
-            && now >= term.orders_from
+            && term.may_order(now)
         {
-            give_orders(&self.core, lease, &config, &term.record, &reports);
+            give_orders(&self.core, lease, &config, term.record(), &reports);
         }
         let folded = self.fold.run(&self.core, &self.zone).await;
         folded.map_err(|source| self.store_error("fold", source))
@@ -155,33 +146,16 @@
 
     /// Raises the fence in the record, so that no earlier placer can write it.
     async fn begin_term(&mut self) -> Result<(), ZoneError> {
-        let key = self.record_key();
-        let stored = self
-            .core
-            .store
-            .get(&key, Instant::now() + STORE_LIMIT)
-            .await;
-        let stored = stored.map_err(|source| self.store_error("read", source))?;
-        let (record, version) = match stored {
-            Some(stored) => (self.decode(&key, &stored.bytes)?, stored.version),
-            None => (PlacementRecord::empty(self.zone.clone()), 0),
-        };
-        let now = Instant::now();
-        let fenced = PlacementRecord {
-            fence: record.fence + 1,
-            ..record
-        };
-        self.term = Some(PlacerTerm {
-            record: fenced.clone(),
-            version,
-            orders_from: now + ORDER_LIMIT,
-            listens_until: now + MISSING_LIMIT,
-        });
-        let written = self.write(fenced).await;
-        if written.is_err() {
-            self.term = None;
+        if self.term.is_some() {
+            return Ok(());
         }
-        written
+        let found = self.read_record().await?;
+        let mut term = PlacerTerm::begin(&self.zone, found, Instant::now());
+        let Some(write) = term.raise_fence(fastrand::u64(..)) else {
+            return Ok(());
+        };
+        self.term = Some(term);
+        self.write(write).await
     }
 
     async fn hear(&mut self, config: &FleetConfig) -> Vec<MemberReport> {
@@ -191,7 +165,7 @@
             .filter(|vm| vm.zone == self.zone)
             .collect();
         let reports = poll_reports(&self.core.control, vms).await;
-        let missing_at = Instant::now() + MISSING_LIMIT;
+        let missing_at = Instant::now() + Duration::from_millis(VM_MISSING_MS);
         for report in &reports {
             let heard = HeardReport {
                 report: report.clone(),
@@ -211,33 +185,39 @@
         let Some(term) = &self.term else {
             return Ok(());
         };
-        if now < term.listens_until {
+        if !term.may_place(now) {
             return Ok(());
         }
-        let vms = self.statuses(config, listings, &term.record, now);
+        let vms = self.statuses(config, listings, term.record(), now);
         let wanted = ReplicaShare::of(config).of_zone(&self.zone);
         let drained = self
             .drains
-            .drained(now, |group| self.is_empty(&term.record, group));
+            .drained(now, |group| self.is_empty(term.record(), group));
         let input = PlanInput {
             config,
-            current: &term.record,
+            current: term.record(),
             vms: &vms,
             wanted: &wanted,
             drained: &drained,
         };
         let planned = self.core.planner.plan(&input);
-        if planned != term.record {
-            log_changes(&self.zone, &term.record, &planned);
-            self.write(planned).await?;
+        if planned != *term.record() {
+            log_changes(&self.zone, term.record(), &planned);
+            let write = self
+                .term
+                .as_mut()
+                .map(|term| term.propose(planned, fastrand::u64(..)));
+            if let Some(write) = write {
+                self.write(write).await?;
+            }
         }
         let quiet_from = now + Duration::from_millis(VIEW_VALID_MS);
         let ends_at = now + Duration::from_millis(config.limits.drain_limit_ms);
         if let Some(term) = &self.term {
-            self.drains.observe(&term.record, quiet_from, ends_at);
+            self.drains.observe(term.record(), quiet_from, ends_at);
             self.core
                 .metrics
-                .gauge("groups", term.record.groups.len() as u64);
+                .gauge("groups", term.record().groups.len() as u64);
         }
         Ok(())
     }
@@ -286,62 +266,61 @@
             .is_none_or(|heard| heard.report.in_flight == 0)
     }
 
-    /// Writes `record`; a write whose answer was lost is settled by reading back.
-    async fn write(&mut self, mut record: PlacementRecord) -> Result<(), ZoneError> {
-        let Some(term) = &self.term else {
-            return Ok(());
-        };
-        record.fence = term.record.fence.max(record.fence);
-        record.nonce = fastrand::u64(..);
+    /// Makes a write; one whose answer was lost is settled by reading back.
+    async fn write(&mut self, write: PlacementWrite) -> Result<(), ZoneError> {
         let key = self.record_key();
-        let value = serde_json::to_vec(&record).unwrap_or_default().into();
-        let expected = term.version;
+        let value = serde_json::to_vec(&write.record).unwrap_or_default().into();
         let deadline = Instant::now() + STORE_LIMIT;
-        let version = match self
+        let put = self
             .core
             .store
-            .put(&key, expected, value, None, deadline)
-            .await
-        {
-            Ok(version) => version,
-            Err(problem) if problem.is_in_doubt() => self.settle(&key, &record).await?,
-            Err(problem) => {
-                self.term = None;
-                return Err(self.store_error("write", problem));
-            }
+            .put(&key, write.expected, value, None, deadline)
+            .await;
+        let answer = match &put {
+            Ok(version) => WriteAnswer::Written(*version),
+            Err(problem) if problem.is_in_doubt() => WriteAnswer::InDoubt,
+            Err(_) => WriteAnswer::Refused,
         };
-        if let Some(term) = &mut self.term {
-            term.record = record;
-            term.version = version;
+        let mut step = self
+            .term
+            .as_mut()
+            .map_or(TermStep::End, |term| term.answered(answer));
+        if step == TermStep::ReadBack {
+            // A read that fails leaves the write in doubt; the next term settles it.
+            let found = self.read_record().await.unwrap_or_default();
+            step = self
+                .term
+                .as_mut()
+                .map_or(TermStep::End, |term| term.read_back(found));
         }
-        Ok(())
-    }
-
-    /// Finds out whether `record` was written although no answer came.
-    async fn settle(
-        &mut self,
-        key: &str,
-        record: &PlacementRecord,
-    ) -> Result<StoreVersion, ZoneError> {
-        let read = self.core.store.get(key, Instant::now() + STORE_LIMIT).await;
-        let is_own = |found: &PlacementRecord| found.nonce == record.nonce;
-        if let Ok(Some(stored)) = &read
-            && let Ok(found) = self.decode::<PlacementRecord>(key, &stored.bytes)
-            && is_own(&found)
-        {
-            return Ok(stored.version);
+        if step == TermStep::Continue {
+            return Ok(());
         }
-        // The write may still arrive; a new term begins with a read of its own.
         self.term = None;
-        match read {
-            Err(source) => Err(self.store_error("read back", source)),
+        match put {
+            Err(source) => Err(self.store_error("write", source)),
             Ok(_) => Err(ZoneError::Fenced {
                 zone: self.zone.clone(),
-                fence: record.fence,
+                fence: write.record.fence,
             }),
         }
     }
 
+    async fn read_record(&self) -> Result<Option<(PlacementRecord, StoreVersion)>, ZoneError> {
+        let key = self.record_key();
+        let read = self
+            .core
+            .store
+            .get(&key, Instant::now() + STORE_LIMIT)
+            .await;
+        let stored = read.map_err(|source| self.store_error("read", source))?;
+        let Some(stored) = stored else {
+            return Ok(None);
+        };
+        let record = self.decode(&key, &stored.bytes)?;
+        Ok(Some((record, stored.version)))
+    }
+
     async fn read_config(&self) -> Result<Option<FleetConfig>, ZoneError> {
         let read = self
             .core
--- a/router/src/home_desk.rs
+++ b/router/src/home_desk.rs
@@ -103,9 +103,11 @@
         let mut state = self.state.lock().expect("home lock");
         let leader = polled_names(target).next().cloned();
         let in_flight = (leader.as_ref() == Some(&report.vm)).then_some(report.in_flight);
+        let sampled_at = polled_at.checked_sub(Duration::from_millis(report.age_ms));
         state.reports.record(report, polled_at);
-        if let (Some(seat), Some(in_flight)) = (state.seats.get_mut(&target.target), in_flight) {
-            seat.home.observe_load(in_flight, polled_at, now);
+        let seat = state.seats.get_mut(&target.target);
+        if let (Some(seat), Some(in_flight), Some(sampled_at)) = (seat, in_flight, sampled_at) {
+            seat.home.observe_load(in_flight, sampled_at, now);
         }
         state.judge(target, now);
     }
--- a/router/src/model_call.rs
+++ b/router/src/model_call.rs
@@ -79,7 +79,7 @@
         message: String,
     },
     /// The target answered with an error of its own.
-    Answered(Response<ReplyBody>),
+    Answered(Box<Response<ReplyBody>>),
 }
 
 impl ModelCall {
@@ -291,7 +291,7 @@
             let message = format!("the target answered with status {}", response.status());
             return Err(failed(held, true, false, message));
         }
-        Err(AttemptEnd::Answered(response))
+        Err(AttemptEnd::Answered(Box::new(response)))
     }
 
     fn target_request(
@@ -373,7 +373,7 @@
                     OUTCOME_HEADER,
                     hyper::header::HeaderValue::from_static(outcome),
                 );
-                return response;
+                return *response;
             }
             FinalEnd::NoSlot(error) => no_slot_problem(&error),
             FinalEnd::Failed { outcome, message } => ProblemReply {
@@ -399,7 +399,7 @@
     /// All attempts failed.
     Failed { outcome: Outcome, message: String },
     /// The target answered with an error of its own.
-    Answered(Response<ReplyBody>),
+    Answered(Box<Response<ReplyBody>>),
 }
 
 /// Returns the answer to a request for which no slot was found.
