router: a target that fails a request is left alone until its home has looked

Cause: after a lost stream or a refused connection, the router still held slots of the same target and tried it again at once; the other targets had no slot ready. Twenty retries were gone in milliseconds, and callers got 'unknown' or 'not-run' although two of three groups were whole. Ruled out: a larger budget alone, which the dead target would have used up as well. Change: a failure suspends the target's slots for the time in which its home must have noticed; a resumed stream needs a slot but no retry budget, at most 4 times. Also: the end of a keyed entry is known at its home before the caller has its answer, so that a repeat is told the same.

--- a/lab/src/fleet/fleet_processes.rs
+++ b/lab/src/fleet/fleet_processes.rs
@@ -101,13 +101,13 @@
     }
 
     /// Asks a process to end and waits until it has; returns whether it did.
-    pub fn stop(&mut self, name: &str) -> Result<bool, FleetError> {
+    pub async fn stop(&mut self, name: &str) -> Result<bool, FleetError> {
         let Some(index) = self.children.iter().position(|(known, _)| known == name) else {
             return Ok(false);
         };
         let (_, mut child) = self.children.remove(index);
         signal_process(child.id(), Signal::TERM)?;
-        Ok(wait_for_end(&mut child))
+        Ok(wait_for_end(&mut child).await)
     }
 }
 
@@ -129,13 +129,13 @@
         .map_err(FleetError::io(format!("signal {signal:?} to process {id}")))
 }
 
-fn wait_for_end(child: &mut Child) -> bool {
+async fn wait_for_end(child: &mut Child) -> bool {
     let give_up_at = Instant::now() + END_LIMIT;
     while Instant::now() < give_up_at {
         if let Ok(Some(status)) = child.try_wait() {
             return status.success();
         }
-        std::thread::sleep(END_TICK);
+        smol::Timer::after(END_TICK).await;
     }
     let _ = child.kill();
     let _ = child.wait();
--- a/lab/src/fleet/lab_fleet.rs
+++ b/lab/src/fleet/lab_fleet.rs
@@ -7,6 +7,8 @@
 use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,6 +28,16 @@
 /// Time between two looks at whether they do.
 const READY_TICK: Duration = Duration::from_millis(100);
 
+/// First port that is given to routers.
+const FIRST_PORT: u16 = 16_000;
+/// Ports from which one process chooses.
+const PORTS_PER_PROCESS: u16 = 300;
+/// Processes whose ports do not overlap.
+const PROCESS_SLOTS: u32 = 50;
+
+/// Ports given out so far.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 /// A running fleet; dropping it ends all its processes.
 pub struct LabFleet {
     /// The stand-ins.
@@ -170,8 +182,8 @@
     platform: SocketAddr,
 ) -> Result<NodeAddresses, FleetError> {
     let id = format_smolstr!("router-{}", index + 1);
-    let http = free_tcp_address()?;
-    let peer = free_udp_address()?;
+    let http = free_address()?;
+    let peer = free_address()?;
     let settings = folder.join(format!("{id}.ini"));
     let text = format!(
         "[process]\nid = {id}\nzone = {zone}\n\n[listen]\nhttp = {http}\npeer = {peer}\n\n\
@@ -187,16 +199,18 @@
     })
 }
 
-fn free_tcp_address() -> Result<SocketAddr, FleetError> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(FleetError::io("finding a port"))?;
-    listener
-        .local_addr()
-        .map_err(FleetError::io("finding a port"))
-}
-
-fn free_udp_address() -> Result<SocketAddr, FleetError> {
-    let socket = UdpSocket::bind("127.0.0.1:0").map_err(FleetError::io("finding a port"))?;
-    socket
-        .local_addr()
-        .map_err(FleetError::io("finding a port"))
+/// Returns a loopback address whose port is free for TCP and UDP.
+///
+/// Ports come from below the range that the system gives to outgoing
+/// connections, and none is given twice by one process.
+fn free_address() -> Result<SocketAddr, FleetError> {
+    let first = FIRST_PORT + PORTS_PER_PROCESS * (std::process::id() % PROCESS_SLOTS) as u16;
+    for _ in 0..PORTS_PER_PROCESS {
+        let port = first + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(FleetError::NotReady("no port is free".to_owned()))
 }
--- /dev/null
+++ b/lab/tests/test_failures.rs
@@ -0,0 +1,315 @@
+//! What callers see while processes and machines fail.
+
+mod testutils;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jujube_lab::fleet::LabFleet;
+use jujube_lab::load::CallKind;
+use jujube_lab::load::CallRecord;
+use jujube_lab::load::LoadPlan;
+use jujube_lab::standins::FaultKind;
+use rustix::process::Signal;
+use testutils::begun_in_zone;
+use testutils::call;
+use testutils::lab_state;
+use testutils::start_load;
+use testutils::strike;
+use testutils::unanswered;
+use testutils::wait_until;
+use testutils::with_fleet;
+
+/// Time after acceptance by which a change must be in force.
+const FORCE_LIMIT: Duration = Duration::from_millis(3_000);
+
+fn plan(fleet: &LabFleet, rate: u64, length_ms: u64) -> LoadPlan {
+    LoadPlan::mixed(
+        &fleet.world.config,
+        fleet.router_addresses(),
+        rate,
+        length_ms,
+    )
+}
+
+fn streams(fleet: &LabFleet, rate: u64, length_ms: u64, tokens: u64) -> LoadPlan {
+    LoadPlan {
+        stream_percent: 100,
+        entry_percent: 0,
+        tokens,
+        ..plan(fleet, rate, length_ms)
+    }
+}
+
+/// Checks that whoever was told that its request was answered got the whole
+/// answer, and that whoever was not was told so and when to come back.
+fn check_words(records: &[CallRecord]) {
+    for record in records {
+        let is_told = !record.outcome.is_empty();
+        assert!(is_told, "no word: {record:?}");
+        assert_eq!(record.outcome == "answered", record.is_whole, "{record:?}");
+        if record.outcome == "not-run" {
+            assert!(record.retry_after > 0, "no time to come back: {record:?}");
+        }
+    }
+}
+
+#[test]
+fn a_member_that_dies_mid_stream_cuts_off_no_caller() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        let load = start_load(streams(fleet, 8, 6_000, 150));
+        smol::Timer::after(Duration::from_millis(2_000)).await;
+        strike(fleet, FaultKind::Kill, "zone-b-01", 0).await;
+        strike(fleet, FaultKind::Freeze, "zone-c-02", 0).await;
+        let records = load.recv().await.expect("a history");
+        assert_eq!(unanswered(&records), Vec::<&CallRecord>::new());
+        // The lost members are replaced from their domains.
+        fleet
+            .wait_for_groups(6)
+            .await
+            .expect("all groups are warm again");
+        let status = jujube::status(&fleet.store).await.expect("a status");
+        for group in &status.groups {
+            assert!(
+                !group.members.contains(&"zone-b-01".to_owned()),
+                "{group:?}"
+            );
+            assert!(
+                !group.members.contains(&"zone-c-02".to_owned()),
+                "{group:?}"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_zone_that_is_out_gets_no_new_work_even_from_a_frozen_router() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        let load = start_load(streams(fleet, 30, 12_000, 8));
+        smol::Timer::after(Duration::from_millis(1_000)).await;
+        assert!(begun_in_zone(fleet, "zone-a").await > 0);
+        fleet
+            .processes
+            .signal("jujube-router/router-3", Signal::STOP)
+            .expect("a signal");
+        let edit = jujuberoad::config::ConfigEdit::Add {
+            name: "90-out.ini".into(),
+            text: "[zone zone-a]\nout = yes\n".to_owned(),
+        };
+        fleet
+            .store
+            .edit(&edit)
+            .await
+            .expect("the change is accepted");
+        smol::Timer::after(FORCE_LIMIT).await;
+        let begun = begun_in_zone(fleet, "zone-a").await;
+        fleet
+            .processes
+            .signal("jujube-router/router-3", Signal::CONT)
+            .expect("a signal");
+        let records = load.recv().await.expect("a history");
+        assert_eq!(begun_in_zone(fleet, "zone-a").await, begun);
+        check_words(&records);
+        let others = records.iter().filter(|record| record.router != 2);
+        let others: Vec<CallRecord> = others.cloned().collect();
+        assert_eq!(unanswered(&others), Vec::<&CallRecord>::new());
+    });
+}
+
+#[test]
+fn a_leaving_vm_gets_no_new_work_and_loses_none() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        let load = start_load(streams(fleet, 20, 8_000, 60));
+        smol::Timer::after(Duration::from_millis(1_000)).await;
+        let drained = jujube::drain(&fleet.store, "vm", "zone-a-01").await;
+        drained.expect("the change is accepted");
+        strike(fleet, FaultKind::Leave, "zone-b-02", 0).await;
+        let records = load.recv().await.expect("a history");
+        assert_eq!(unanswered(&records), Vec::<&CallRecord>::new());
+        wait_until("both VMs are empty", async || {
+            let status = jujube::status(&fleet.store).await.expect("a status");
+            let members = status.groups.iter().flat_map(|group| &group.members);
+            !members
+                .into_iter()
+                .any(|vm| vm == "zone-a-01" || vm == "zone-b-02")
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_planned_stop_of_each_program_cuts_off_nothing() {
+    with_fleet(4, async |fleet: &mut LabFleet| {
+        let load = start_load(streams(fleet, 20, 1_500, 600));
+        smol::Timer::after(Duration::from_millis(1_800)).await;
+        let mut ended = Vec::new();
+        for name in [
+            "jujube-router/router-4",
+            "jujube-placer/router-1",
+            "jujube-router/router-1",
+        ] {
+            ended.push((name, fleet.processes.stop(name).await.expect("a signal")));
+        }
+        let records = load.recv().await.expect("a history");
+        assert_eq!(unanswered(&records), Vec::<&CallRecord>::new());
+        for (name, has_ended) in ended {
+            assert!(has_ended, "{name} did not end by itself");
+        }
+        let list = fleet.store.routers().await.expect("the list of routers");
+        assert_eq!(list.routers.len(), 2);
+    });
+}
+
+/// Sends an entry with `key` to each router in turn until one says how it ended.
+async fn ask_all(fleet: &LabFleet, key: &str) -> Vec<String> {
+    let headers = [("jujube-team", "team-one"), ("idempotency-key", key)];
+    let mut outcomes = Vec::new();
+    for router in fleet.router_addresses() {
+        outcomes.push(
+            call(router, "POST", "/ledger/entries", &headers, "{}")
+                .await
+                .outcome,
+        );
+    }
+    outcomes
+}
+
+fn runs(state: &serde_json::Value) -> BTreeMap<String, u64> {
+    serde_json::from_value(state["runs"].clone()).expect("runs by key")
+}
+
+#[test]
+fn an_entry_runs_at_most_once_and_not_run_means_zero() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        strike(fleet, FaultKind::ServiceSlow, "", 300).await;
+        strike(fleet, FaultKind::StoreLoses, "", 3).await;
+        let entries = LoadPlan {
+            entry_percent: 100,
+            ..plan(fleet, 20, 6_000)
+        };
+        let load = start_load(entries);
+        smol::Timer::after(Duration::from_millis(1_500)).await;
+        strike(fleet, FaultKind::StoreOut, "", 1_500).await;
+        smol::Timer::after(Duration::from_millis(500)).await;
+        fleet.processes.kill("jujube-router/router-2");
+        let records = load.recv().await.expect("a history");
+        fleet.restart_router(1).expect("the router starts again");
+        wait_until("router-2 is ready", async || call_is_ready(fleet, 1).await).await;
+        let state = lab_state(fleet).await;
+        let first_runs = runs(&state);
+        for record in &records {
+            let count = first_runs.get(&record.key).copied().unwrap_or(0);
+            assert!(count <= 1, "{count} runs: {record:?}");
+            match record.outcome.as_str() {
+                "not-run" => assert_eq!(count, 0, "{record:?}"),
+                "answered" => assert_eq!(count, 1, "{record:?}"),
+                _ => {}
+            }
+        }
+        // Whoever asks again at any router causes no second run.
+        let unsure = records
+            .iter()
+            .filter(|record| record.outcome != "answered")
+            .take(6);
+        for record in unsure {
+            let outcomes = ask_all(fleet, &record.key).await;
+            assert!(
+                outcomes.iter().all(|outcome| !outcome.is_empty()),
+                "{outcomes:?}"
+            );
+        }
+        for (key, count) in runs(&lab_state(fleet).await) {
+            assert!(count <= 1, "key {key} ran {count} times");
+        }
+    });
+}
+
+async fn call_is_ready(fleet: &LabFleet, node: usize) -> bool {
+    let status = jujube::status(&fleet.store).await.expect("a status");
+    let name = &fleet.nodes[node].id;
+    status
+        .routers
+        .iter()
+        .any(|router| router.router == *name.as_str() && router.is_fresh)
+}
+
+#[test]
+fn an_answer_lost_by_the_service_is_unknown_and_stays_so() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        let edit = jujuberoad::config::ConfigEdit::Add {
+            name: "80-short.ini".into(),
+            text: "[limits]\nrequest = 3s\n".to_owned(),
+        };
+        fleet
+            .store
+            .edit(&edit)
+            .await
+            .expect("the change is accepted");
+        smol::Timer::after(FORCE_LIMIT).await;
+        strike(fleet, FaultKind::ServiceLoses, "", 1).await;
+        let headers = [("jujube-team", "team-one"), ("idempotency-key", "lost-1")];
+        let router = fleet.nodes[0].http;
+        let answer = call(router, "POST", "/ledger/entries", &headers, "{}").await;
+        assert_eq!(answer.outcome, "unknown");
+        assert_eq!(
+            ask_all(fleet, "lost-1").await,
+            ["unknown", "unknown", "unknown"]
+        );
+        assert_eq!(runs(&lab_state(fleet).await)["lost-1"], 1);
+    });
+}
+
+#[test]
+fn an_outage_of_the_store_loses_nothing() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        let models = LoadPlan {
+            entry_percent: 0,
+            ..plan(fleet, 30, 18_000)
+        };
+        let load = start_load(models);
+        smol::Timer::after(Duration::from_millis(1_000)).await;
+        strike(fleet, FaultKind::StoreOut, "", 13_000).await;
+        smol::Timer::after(Duration::from_millis(6_000)).await;
+        let answers = ask_all(fleet, "in-outage").await;
+        assert_eq!(answers, ["not-run", "not-run", "not-run"]);
+        let records = load.recv().await.expect("a history");
+        assert_eq!(unanswered(&records), Vec::<&CallRecord>::new());
+        assert!(!runs(&lab_state(fleet).await).contains_key("in-outage"));
+        // What could not be recorded is caught up, and the key can be used.
+        wait_until("the key can be used", async || {
+            ask_all(fleet, "in-outage")
+                .await
+                .contains(&"answered".to_owned())
+        })
+        .await;
+        assert_eq!(runs(&lab_state(fleet).await)["in-outage"], 1);
+    });
+}
+
+#[test]
+fn a_cold_engine_bears_what_it_can_when_its_home_dies() {
+    with_fleet(4, async |fleet: &mut LabFleet| {
+        let load = start_load(streams(fleet, 60, 8_000, 30));
+        smol::Timer::after(Duration::from_millis(2_000)).await;
+        fleet.processes.kill("jujube-router/router-2");
+        for vm in ["zone-a-03", "zone-b-03", "zone-c-03"] {
+            strike(fleet, FaultKind::Revive, vm, 0).await;
+        }
+        let records = load.recv().await.expect("a history");
+        let state = lab_state(fleet).await;
+        for vm in ["zone-a-03", "zone-b-03", "zone-c-03"] {
+            let peak = state["engines"][vm]["counts"]["cold_peak"].as_u64();
+            assert!(peak <= Some(2), "{vm} bore {peak:?} requests while cold");
+        }
+        let others: Vec<CallRecord> = records
+            .iter()
+            .filter(|record| record.router != 1)
+            .cloned()
+            .collect();
+        check_words(&others);
+        let kinds = others
+            .iter()
+            .filter(|record| record.kind == CallKind::Stream);
+        assert!(kinds.count() > 100);
+    });
+}
--- /dev/null
+++ b/lab/tests/testutils/mod.rs
@@ -0,0 +1,159 @@
+//! Helpers for sessions with real processes.
+#![allow(dead_code, missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use jujube_lab::fleet::LabFleet;
+use jujube_lab::load::CallRecord;
+use jujube_lab::load::LoadPlan;
+use jujube_lab::load::LoadRunner;
+use jujube_lab::standins::EngineTiming;
+use jujube_lab::standins::FaultKind;
+use jujube_lab::standins::FaultOrder;
+use jujuberoad_node::http::HttpPool;
+use jujuberoad_node::runtime;
+use serde_json::Value;
+use smol::channel;
+use smol::channel::Receiver;
+
+/// Engines that are quick enough for tests.
+pub const TIMING: EngineTiming = EngineTiming {
+    load_ms: 300,
+    warm_ms: 500,
+    prefill_ms: 10,
+    token_ms: 5,
+};
+
+/// Time within which an awaited event must come.
+pub const EVENT_LIMIT: Duration = Duration::from_secs(60);
+
+/// Brings up a small fleet, runs `session` on it and takes it down.
+pub fn with_fleet(routers: usize, session: impl AsyncFnOnce(&mut LabFleet)) {
+    runtime::run(3, async {
+        let folder = tempfile::tempdir().expect("a folder");
+        let files = jujube::read_folder(Path::new("../examples/small")).expect("the example");
+        let fleet = LabFleet::start(files, routers, TIMING, folder.path()).await;
+        let mut fleet = fleet.expect("the fleet comes up");
+        fleet.wait_ready().await.expect("all groups are warm");
+        session(&mut fleet).await;
+    });
+}
+
+/// An answer as a caller sees it.
+pub struct SeenAnswer {
+    pub status: u16,
+    pub outcome: String,
+    pub retry_after: String,
+    pub repeated: bool,
+    pub body: String,
+}
+
+/// Sends one request and reads the whole answer.
+pub async fn call(
+    router: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> SeenAnswer {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "router");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .expect("a request");
+    let deadline = Instant::now() + EVENT_LIMIT;
+    let response = HttpPool::new()
+        .send(router, request, true, deadline)
+        .await
+        .expect("an answer");
+    let header = |name: &str| {
+        let value = response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (outcome, retry_after) = (header("jujube-outcome"), header("retry-after"));
+    let repeated = !header("jujube-repeated").is_empty();
+    let status = response.status().as_u16();
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .expect("a whole body")
+        .to_bytes();
+    let body = String::from_utf8_lossy(&body).into_owned();
+    SeenAnswer {
+        status,
+        outcome,
+        retry_after,
+        repeated,
+        body,
+    }
+}
+
+/// Makes a stand-in show a fault.
+pub async fn strike(fleet: &LabFleet, kind: FaultKind, vm: &str, amount: u64) {
+    let fault = FaultOrder {
+        kind,
+        vm: vm.to_owned(),
+        amount,
+    };
+    let body = serde_json::to_string(&fault).expect("a fault");
+    let answer = call(fleet.world.admin, "POST", "/fault", &[], &body).await;
+    assert_eq!(answer.status, 200, "{fault:?}: {}", answer.body);
+}
+
+/// Returns what the stand-ins have seen.
+pub async fn lab_state(fleet: &LabFleet) -> Value {
+    let answer = call(fleet.world.admin, "GET", "/state", &[], "").await;
+    serde_json::from_str(&answer.body).expect("a state")
+}
+
+/// Returns the requests that the VMs of a zone have begun, by their own count.
+pub async fn begun_in_zone(fleet: &LabFleet, zone: &str) -> u64 {
+    let state = lab_state(fleet).await;
+    let engines = state["engines"].as_object().expect("engines");
+    let in_zone = engines.iter().filter(|(vm, _)| vm.starts_with(zone));
+    in_zone
+        .map(|(_, engine)| engine["counts"]["begun"].as_u64().unwrap_or(0))
+        .sum()
+}
+
+/// Starts a load beside the session; its history comes when it has ended.
+pub fn start_load(plan: LoadPlan) -> Receiver<Vec<CallRecord>> {
+    let (sender, receiver) = channel::bounded(1);
+    runtime::spawn(async move {
+        let _ = sender.send(LoadRunner::new(plan).run().await).await;
+    });
+    receiver
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let give_up_at = Instant::now() + EVENT_LIMIT;
+    while !condition().await {
+        assert!(Instant::now() < give_up_at, "{what} did not happen");
+        smol::Timer::after(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns the records of calls that were not answered as a whole.
+pub fn unanswered(records: &[CallRecord]) -> Vec<&CallRecord> {
+    records
+        .iter()
+        .filter(|record| !record.is_whole || record.outcome != "answered")
+        .collect()
+}
--- a/lib/src/claims/claim_ledger.rs
+++ b/lib/src/claims/claim_ledger.rs
@@ -34,7 +34,7 @@
     writing: Option<ClaimPage>,
     next_write_at: Instant,
     asks: Vec<ClaimAsk>,
-    settles: Vec<(ClaimKey, Nonce, ClaimAnswer)>,
+    settles: Vec<ClaimSettle>,
 }
 
 #[derive(Clone, Debug)]
@@ -45,6 +45,14 @@
     expires_at: Instant,
 }
 
+/// The end of a claimed request that is not on record yet.
+#[derive(Clone, Debug)]
+struct ClaimSettle {
+    key: ClaimKey,
+    nonce: Nonce,
+    answer: ClaimAnswer,
+}
+
 impl ClaimLedger {
     /// Becomes home to a shard; nothing is known of its pages yet.
     pub fn new(now: Instant) -> Self {
@@ -73,8 +81,22 @@
     }
 
     /// Takes the end of the request that claimed `key` with `nonce`.
-    pub fn settle(&mut self, key: ClaimKey, nonce: Nonce, answer: ClaimAnswer) {
-        self.settles.push((key, nonce, answer));
+    ///
+    /// Whoever asks from now on is told that end. Returns whether it is on
+    /// record, so that it need not be offered again.
+    pub fn settle(&mut self, key: ClaimKey, nonce: Nonce, answer: ClaimAnswer) -> bool {
+        let recorded = self.entry(&key).filter(|(_, entry)| entry.nonce == nonce);
+        if recorded.is_some_and(|(_, entry)| entry.answer.is_some()) {
+            return true;
+        }
+        let is_known = self
+            .settles
+            .iter()
+            .any(|settle| settle.key == key && settle.nonce == nonce);
+        if !is_known {
+            self.settles.push(ClaimSettle { key, nonce, answer });
+        }
+        false
     }
 
     /// Tells whether something waits to be done.
@@ -173,7 +195,11 @@
                 self.asks.push(ask);
                 continue;
             }
-            let reply = ClaimReply::Held(entry.answer.clone());
+            let answer = entry
+                .answer
+                .as_ref()
+                .or_else(|| self.pending_answer(&ask.key, entry));
+            let reply = ClaimReply::Held(answer.cloned());
             actions.push(ClaimAction::Reply {
                 ask: ask.ask,
                 reply,
@@ -182,12 +208,21 @@
         actions
     }
 
+    fn pending_answer(&self, key: &ClaimKey, entry: &ClaimEntry) -> Option<&ClaimAnswer> {
+        let settle = self.settles.iter().find(|settle| {
+            settle.key == *key
+                && settle.nonce == entry.nonce
+                && settle.answer.outcome != Outcome::NotRun
+        });
+        settle.map(|settle| &settle.answer)
+    }
+
     /// Returns the page to be written next: one whose claims have ended, or
     /// the open page with new claims, or the open page to be sealed.
     fn next_page(&self, unix_ms: u64) -> Option<(ClaimPage, StoreVersion)> {
         let open = self.pages.last_key_value().map(|(number, _)| *number);
         let is_open = |number: u64| open == Some(number) && !self.pages[&number].0.is_sealed;
-        for (key, nonce, _) in &self.settles {
+        for ClaimSettle { key, nonce, .. } in &self.settles {
             let Some((number, entry)) = self.entry(key) else {
                 continue;
             };
@@ -238,7 +273,7 @@
     }
 
     fn with_answers(&self, mut page: ClaimPage) -> ClaimPage {
-        for (key, nonce, answer) in &self.settles {
+        for ClaimSettle { key, nonce, answer } in &self.settles {
             let Some(entry) = page.entries.get_mut(key) else {
                 continue;
             };
@@ -252,12 +287,12 @@
     /// Forgets the ends that are on record or have no claim to belong to.
     fn drop_settled(&mut self) {
         let settles = std::mem::take(&mut self.settles);
-        for (key, nonce, answer) in settles {
-            let is_pending = self
-                .entry(&key)
-                .is_some_and(|(_, entry)| entry.nonce == nonce && entry.answer.is_none());
+        for settle in settles {
+            let entry = self.entry(&settle.key).map(|(_, entry)| entry);
+            let is_pending =
+                entry.is_some_and(|entry| entry.nonce == settle.nonce && entry.answer.is_none());
             if is_pending {
-                self.settles.push((key, nonce, answer));
+                self.settles.push(settle);
             }
         }
     }
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -50,7 +50,10 @@
         answer: ClaimAnswer,
     },
     /// Acknowledges a settlement.
-    Settled,
+    Settled {
+        /// Whether it is on record in the platform's store.
+        is_recorded: bool,
+    },
 }
 
 impl PeerMessage {
@@ -58,7 +61,7 @@
     pub fn is_answer(&self) -> bool {
         matches!(
             self,
-            Self::Pong { .. } | Self::SlotGrant(_) | Self::ClaimReply(_) | Self::Settled
+            Self::Pong { .. } | Self::SlotGrant(_) | Self::ClaimReply(_) | Self::Settled { .. }
         )
     }
 }
--- a/lib/src/slots/slot_wallet.rs
+++ b/lib/src/slots/slot_wallet.rs
@@ -9,6 +9,7 @@
 use super::SlotRefusal;
 use super::SlotRequest;
 use super::WalletState;
+use crate::health::REPORT_VALID_MS;
 use crate::ids::Epoch;
 use crate::ids::Generation;
 use crate::ids::Incarnation;
@@ -43,6 +44,7 @@
     state: WalletState,
     in_use: u32,
     taken: u32,
+    suspended_until: Option<Instant>,
 }
 
 impl SlotWallet {
@@ -64,6 +66,7 @@
             state: WalletState::Unknown,
             in_use: 0,
             taken: 0,
+            suspended_until: None,
         }
     }
 
@@ -75,7 +78,7 @@
     /// Returns how many requests may start at `now` on `generation`.
     pub fn spare(&self, generation: Generation, now: Instant) -> u32 {
         let is_valid = self.valid_until.is_some_and(|until| now < until);
-        if !is_valid || self.generation != generation {
+        if self.is_suspended(now) || !is_valid || self.generation != generation {
             return 0;
         }
         self.slots.saturating_sub(self.in_use)
@@ -93,6 +96,9 @@
 
     /// Returns what is known about the target at `now`.
     pub fn state(&self, now: Instant) -> WalletState {
+        if self.is_suspended(now) {
+            return WalletState::Closed;
+        }
         match self.valid_until {
             Some(until) if now < until => self.state,
             _ if self.state == WalletState::Closed => WalletState::Closed,
@@ -128,6 +134,20 @@
         self.valid_until = None;
     }
 
+    /// Starts no request on the target for a while, because one has just failed
+    /// there in a way that hints at a lost member.
+    ///
+    /// After that time the home has noticed as well, or the failure was none of
+    /// the target.
+    pub fn suspend(&mut self, now: Instant) {
+        self.cut_back();
+        self.suspended_until = Some(now + Duration::from_millis(REPORT_VALID_MS));
+    }
+
+    fn is_suspended(&self, now: Instant) -> bool {
+        self.suspended_until.is_some_and(|until| now < until)
+    }
+
     /// Tells whether held slots are to be renewed or given back.
     pub fn is_renewal_due(&self, now: Instant) -> bool {
         let Some(sent_at) = self.sent_at else {
@@ -140,6 +160,9 @@
     /// Tells whether more slots may be asked for: no answer is on its way, and
     /// some time has passed since nothing was granted.
     pub fn may_ask(&self, now: Instant) -> bool {
+        if self.is_suspended(now) {
+            return false;
+        }
         let Some(sent_at) = self.sent_at else {
             return true;
         };
--- a/router/src/claim_desk.rs
+++ b/router/src/claim_desk.rs
@@ -90,16 +90,27 @@
         None
     }
 
-    /// Tells the home of the shard how a claimed request ended, until it listens.
-    pub(crate) fn settle(core: &Arc<RouterCore>, key: ClaimKey, nonce: Nonce, answer: ClaimAnswer) {
+    /// Tells the home of the shard how a claimed request ended.
+    ///
+    /// Returns once the home knows it, or after a short time; it goes on being
+    /// offered until it is on record.
+    pub(crate) async fn settle(
+        core: &Arc<RouterCore>,
+        key: ClaimKey,
+        nonce: Nonce,
+        answer: ClaimAnswer,
+    ) {
+        if offer(core, key, nonce, answer.clone()).await == Some(true) {
+            return;
+        }
         let core = Arc::clone(core);
         runtime::spawn(async move {
             let give_up_at = Instant::now() + SETTLE_LIMIT;
             while Instant::now() < give_up_at {
-                if offer(&core, key, nonce, answer.clone()).await {
+                smol::Timer::after(SETTLE_PAUSE).await;
+                if offer(&core, key, nonce, answer.clone()).await == Some(true) {
                     return;
                 }
-                smol::Timer::after(SETTLE_PAUSE).await;
             }
             warn!(
                 "claim: the end of a request could not be recorded outcome={}",
@@ -132,21 +143,23 @@
         async { receiver.recv().await.ok() }.or(timer).await
     }
 
-    /// Takes the end of a request as the home of its shard.
+    /// Takes the end of a request as the home of its shard; returns whether it
+    /// is on record, or nothing when this router is not home.
     pub(crate) fn settle_here(
         &self,
         core: &Arc<RouterCore>,
         key: ClaimKey,
         nonce: Nonce,
         answer: ClaimAnswer,
-    ) -> bool {
+    ) -> Option<bool> {
         if !is_home(core, key.shard()) {
-            return false;
+            return None;
         }
+        let mut is_recorded = false;
         self.with_seat(core, key.shard(), |seat| {
-            seat.ledger.settle(key, nonce, answer)
+            is_recorded = seat.ledger.settle(key, nonce, answer);
         });
-        true
+        Some(is_recorded)
     }
 
     fn with_seat(&self, core: &Arc<RouterCore>, shard: u64, change: impl FnOnce(&mut ShardSeat)) {
@@ -198,17 +211,25 @@
     }
 }
 
-async fn offer(core: &Arc<RouterCore>, key: ClaimKey, nonce: Nonce, answer: ClaimAnswer) -> bool {
+/// Offers the end of a request to the home of its shard; returns whether it is
+/// on record there, or nothing when no home has taken it.
+async fn offer(
+    core: &Arc<RouterCore>,
+    key: ClaimKey,
+    nonce: Nonce,
+    answer: ClaimAnswer,
+) -> Option<bool> {
     let view = core.board.view();
-    let Some(home) = view.shard_home(key.shard()) else {
-        return false;
-    };
+    let home = view.shard_home(key.shard())?;
     if home.router == core.settings.id {
         return core.claims.settle_here(core, key, nonce, answer);
     }
     let question = PeerMessage::Settle { key, nonce, answer };
     let deadline = Instant::now() + ASK_LIMIT;
-    core.peers.ask(home.peer, question, deadline).await == Some(PeerMessage::Settled)
+    match core.peers.ask(home.peer, question, deadline).await {
+        Some(PeerMessage::Settled { is_recorded }) => Some(is_recorded),
+        _ => None,
+    }
 }
 
 fn is_home(core: &RouterCore, shard: u64) -> bool {
--- a/router/src/held_slot.rs
+++ b/router/src/held_slot.rs
@@ -43,6 +43,11 @@
     pub(crate) fn cut_back(&self) {
         self.desk.cut_back(&self.choice.permit.target);
     }
+
+    /// Starts nothing on the target for a while, after a failure there.
+    pub(crate) fn suspend(&self) {
+        self.desk.suspend(&self.choice.permit.target);
+    }
 }
 
 impl Drop for HeldSlot {
--- a/router/src/model_call.rs
+++ b/router/src/model_call.rs
@@ -412,6 +412,9 @@
 }
 
 fn failed(held: &HeldSlot, was_sent: bool, was_refused: bool, message: String) -> AttemptEnd {
+    if !was_refused {
+        held.suspend();
+    }
     let failure = AttemptFailure {
         was_sent,
         was_refused,
--- a/router/src/peer_desk.rs
+++ b/router/src/peer_desk.rs
@@ -62,8 +62,8 @@
             Some(PeerMessage::ClaimReply(reply))
         }
         PeerMessage::Settle { key, nonce, answer } => {
-            let is_taken = core.claims.settle_here(core, key, nonce, answer);
-            is_taken.then_some(PeerMessage::Settled)
+            let is_recorded = core.claims.settle_here(core, key, nonce, answer)?;
+            Some(PeerMessage::Settled { is_recorded })
         }
         _ => None,
     }
--- a/router/src/service_call.rs
+++ b/router/src/service_call.rs
@@ -111,7 +111,7 @@
         let result = self.attempts().await;
         if let Some(claim) = claim {
             let answer = claim_answer(&result);
-            ClaimDesk::settle(&self.core, claim.key, claim.nonce, answer);
+            ClaimDesk::settle(&self.core, claim.key, claim.nonce, answer).await;
         }
         match result {
             Ok(answer) => self.answer(answer),
@@ -163,7 +163,7 @@
                     body: Vec::new(),
                     is_cut: false,
                 };
-                ClaimDesk::settle(&self.core, key, nonce, not_run);
+                ClaimDesk::settle(&self.core, key, nonce, not_run).await;
                 let retry_at = deadline_after(Instant::now(), 1_000);
                 Err(self.refuse(problem.with_retry_at(retry_at)))
             }
@@ -370,6 +370,9 @@
 }
 
 fn failed(held: &HeldSlot, was_sent: bool, was_refused: bool, message: String) -> AttemptEnd {
+    if !was_refused {
+        held.suspend();
+    }
     let failure = AttemptFailure {
         was_sent,
         was_refused,
--- a/router/src/slot_desk.rs
+++ b/router/src/slot_desk.rs
@@ -171,6 +171,14 @@
         }
     }
 
+    /// Starts nothing on a target for a while, after a failure there.
+    pub(crate) fn suspend(&self, target: &TargetId) {
+        let mut state = self.state.lock().expect("desk lock");
+        if let Some(wallet) = state.wallets.get_mut(target) {
+            wallet.suspend(Instant::now());
+        }
+    }
+
     /// Applies a grant and serves the requests that wait.
     pub(crate) fn apply(&self, grant: &SlotGrant) {
         let mut state = self.state.lock().expect("desk lock");
--- a/router/src/token_stream.rs
+++ b/router/src/token_stream.rs
@@ -31,6 +31,10 @@
 /// Tokens that wait for a slow caller before the engine's stream is held back.
 const TOKENS_AHEAD: usize = 64;
 
+/// Times that one stream is resumed. Each needs a slot, so that resumed streams
+/// never overload what is left after a loss.
+const MAX_RESUMES: u32 = 4;
+
 /// Where a stream goes on after it has been lost.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ResumePoint {
@@ -48,6 +52,7 @@
     reader: TokenReader,
     held: HeldSlot,
     sender: Sender<Bytes>,
+    resumes: u32,
 }
 
 /// Why the caller gets no further token.
@@ -77,6 +82,7 @@
             reader,
             held,
             sender,
+            resumes: 0,
         };
         runtime::spawn(carrier.run(first));
         let frames =
@@ -157,9 +163,11 @@
             "resume: request={request} lost={lost} from={} reason={reason:?}",
             point.from
         );
-        if !self.call.core.slots.spend_retry() {
+        self.held.suspend();
+        if self.resumes == MAX_RESUMES {
             return Err(lost_problem(reason));
         }
+        self.resumes += 1;
         let opened = self.call.open_stream(Some(lost), point).await;
         let OpenStream {
             held,
