--- a/router/src/target_attempt.rs
+++ b/router/src/target_attempt.rs
@@ -145,10 +145,16 @@
         AcquireError::Queue(_) => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
+    let retry_at = retry_at(outcome, error.retry_at());
     ProblemReply {
         status,
         outcome,
         detail: error.to_string(),
-        retry_at: Some(error.retry_at()),
+        retry_at,
     }
 }
+
+/// Returns when to come back: only a request that did not run is sent again.
+fn retry_at(outcome: Outcome, at: Instant) -> Option<Instant> {
+    (outcome == Outcome::NotRun).then_some(at)
+}
