--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -3,11 +3,14 @@
 mod demo;
 mod lab_options;
 mod load;
+mod measure;
 mod measure_path;
 mod up;
 
 pub use demo::demo;
 pub use lab_options::LabOptions;
 pub use load::load;
+pub use measure::MEASURES;
+pub use measure::measure;
 pub use measure_path::measure_path;
 pub use up::up;
--- a/lab/src/fleet/fleet_error.rs
+++ b/lab/src/fleet/fleet_error.rs
@@ -14,6 +14,9 @@
     /// The configuration was refused.
     #[error(transparent)]
     Command(#[from] jujube::CommandError),
+    /// The command's words are off.
+    #[error("{0}")]
+    Usage(String),
     /// The fleet did not become ready.
     #[error("the fleet is not ready: {0}")]
     NotReady(String),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -34,6 +34,7 @@
     Demo(DemoArgs),
     Up(UpArgs),
     Load(LoadArgs),
+    Measure(MeasureArgs),
     MeasurePath(MeasurePathArgs),
 }
 
@@ -67,6 +68,18 @@
     routers: usize,
 }
 
+/// Measure a decision against its baseline under virtual time.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure")]
+struct MeasureArgs {
+    /// choice, fair, overload, placement, slopes, slots or spread
+    #[argh(positional)]
+    name: String,
+    /// seed of all choices (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
 /// Measure what one router adds to small requests and to streams.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure-path")]
@@ -159,6 +172,15 @@
             };
             commands::up(&options).await
         }
+        Command::Measure(measure) => {
+            let Some(table) = commands::measure(&measure.name, measure.seed) else {
+                let expected = commands::MEASURES.join(", ");
+                let message = format!("measure {:?}: expected one of {expected}", measure.name);
+                return Err(FleetError::Usage(message));
+            };
+            print!("{table}");
+            Ok(())
+        }
         Command::MeasurePath(path) => {
             let config = PathBuf::from("examples/bench");
             let options = LabOptions {
--- /dev/null
+++ b/lab/src/measure/placement_bench.rs
@@ -0,0 +1,232 @@
+//! A month of failures: group downtime and stranded accelerators.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+use jujuberoad::config::FleetConfig;
+use jujuberoad::ids::VmId;
+use jujuberoad::placement::DomainPlanner;
+use jujuberoad::placement::FirstFitPlanner;
+use jujuberoad::placement::GroupRecord;
+use jujuberoad::placement::PlacementPlanner;
+use jujuberoad::placement::PlacementRecord;
+use jujuberoad::placement::PlanInput;
+use jujuberoad::placement::VmStatus;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use super::next_interval;
+
+const HOURS: f64 = 24.0 * 30.0;
+/// Time to find a lost VM, order its replacement and load the model, in hours.
+const REPAIR_H: f64 = 4.0 / 60.0;
+/// Accelerators of a VM.
+const ACCELERATORS: f64 = 8.0;
+
+/// Sizes and rates of one fleet, as seen in one availability zone.
+struct MonthPlan {
+    name: &'static str,
+    domains: usize,
+    vms_per_domain: usize,
+    vms_per_group: u64,
+    groups: u64,
+    /// VMs of the zone that fail in an hour.
+    failures: f64,
+    /// VMs of the zone that are restarted or replaced in an hour.
+    restarts: f64,
+    /// Fabric domains of the zone that go dark in an hour.
+    racks: f64,
+}
+
+/// Rates of the letter for 890 workers, an hour.
+const FAILURES_OF_890: f64 = 11.0 / 24.0;
+const RESTARTS_OF_890: f64 = 340.0 / 24.0;
+const RACKS_OF_890: f64 = 1.0 / (24.0 * 45.0);
+
+/// Compares both planners over a month at today's size and at the target's.
+pub fn placement_bench(seed: u64) -> String {
+    let today = 20.0 / 890.0;
+    let target = 89.0 / 890.0;
+    let plans = [
+        MonthPlan {
+            name: "today, a zone of 20 VMs",
+            domains: 2,
+            vms_per_domain: 10,
+            vms_per_group: 4,
+            groups: 4,
+            failures: FAILURES_OF_890 * today,
+            restarts: RESTARTS_OF_890 * today,
+            racks: RACKS_OF_890 * today,
+        },
+        MonthPlan {
+            name: "target, a zone of 89 VMs",
+            domains: 4,
+            vms_per_domain: 22,
+            vms_per_group: 8,
+            groups: 10,
+            failures: FAILURES_OF_890 * target,
+            restarts: RESTARTS_OF_890 * target,
+            racks: RACKS_OF_890 * target,
+        },
+    ];
+    let mut text = String::from(
+        "fleet                     planner    group-hours down  groups rebuilt  stranded accelerator-hours\n",
+    );
+    for plan in &plans {
+        for (name, planner) in [
+            ("first-fit", &FirstFitPlanner as &dyn PlacementPlanner),
+            ("domain", &DomainPlanner),
+        ] {
+            let _ = writeln!(
+                text,
+                "{:<24}  {name:<9}  {}",
+                plan.name,
+                run(plan, planner, seed)
+            );
+        }
+    }
+    text
+}
+
+/// State of a VM in the model.
+#[derive(Clone, Copy)]
+struct VmModel {
+    incarnation: u64,
+    back_at: f64,
+}
+
+fn run(plan: &MonthPlan, planner: &dyn PlacementPlanner, seed: u64) -> String {
+    let config = zone_config(plan);
+    let names: Vec<VmId> = config.vms.keys().cloned().collect();
+    let mut vms = vec![
+        VmModel {
+            incarnation: 1,
+            back_at: 0.0
+        };
+        names.len()
+    ];
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut record = PlacementRecord::empty("z".into());
+    let mut ready_at: BTreeMap<SmolStr, (u64, f64)> = BTreeMap::new();
+    let (mut now, mut down, mut stranded, mut rebuilt) = (0.0, 0.0, 0.0, 0);
+    let event_rate = plan.failures + plan.restarts + plan.racks;
+    while now < HOURS {
+        let interval = next_interval(&mut random, event_rate);
+        // The time until the next event is walked in short steps, in which
+        // VMs come back and groups become ready.
+        let mut left = interval;
+        while left > 0.0 && now < HOURS {
+            let step = left.min(1.0 / 60.0);
+            now += step;
+            left -= step;
+            let statuses = statuses(&names, &vms, now);
+            record = plan_next(planner, &config, &record, &statuses, plan.groups);
+            rebuilt += note_changes(&record, &mut ready_at, now);
+            let serving = record
+                .groups
+                .values()
+                .filter(|group| ready_at[&group.group].1 <= now);
+            let serving: Vec<&GroupRecord> = serving.collect();
+            down += step * plan.groups.saturating_sub(serving.len() as u64) as f64;
+            let used: usize = serving.iter().map(|group| group.members.len()).sum();
+            let unused = statuses.len().saturating_sub(used);
+            // VMs beyond what the declared groups need are spares, not stranded.
+            let spares = names.len() - (plan.groups * plan.vms_per_group) as usize;
+            stranded += step * ACCELERATORS * unused.saturating_sub(spares) as f64;
+        }
+        strike(plan, &mut random, &mut vms, now);
+    }
+    format!("{down:>16.1}  {rebuilt:>14}  {stranded:>26.0}")
+}
+
+fn strike(plan: &MonthPlan, random: &mut fastrand::Rng, vms: &mut [VmModel], now: f64) {
+    let roll = random.f64() * (plan.failures + plan.restarts + plan.racks);
+    let victim = random.usize(0..vms.len());
+    let (count, away_h) = if roll < plan.failures {
+        (1, 4.0)
+    } else if roll < plan.failures + plan.restarts {
+        (1, 0.2)
+    } else {
+        (plan.vms_per_domain, 2.0)
+    };
+    let first = if count > 1 {
+        victim / count * count
+    } else {
+        victim
+    };
+    for vm in vms.iter_mut().skip(first).take(count) {
+        vm.incarnation += 1;
+        vm.back_at = vm.back_at.max(now + away_h);
+    }
+}
+
+fn statuses(names: &[VmId], vms: &[VmModel], now: f64) -> BTreeMap<VmId, VmStatus> {
+    let mut statuses = BTreeMap::new();
+    for (name, vm) in names.iter().zip(vms) {
+        if vm.back_at <= now {
+            let status = VmStatus {
+                incarnation: vm.incarnation,
+                leaving: false,
+                ready: true,
+            };
+            statuses.insert(name.clone(), status);
+        }
+    }
+    statuses
+}
+
+fn plan_next(
+    planner: &dyn PlacementPlanner,
+    config: &FleetConfig,
+    record: &PlacementRecord,
+    statuses: &BTreeMap<VmId, VmStatus>,
+    groups: u64,
+) -> PlacementRecord {
+    let wanted = BTreeMap::from([("m".into(), groups)]);
+    planner.plan(&PlanInput {
+        config,
+        current: record,
+        vms: statuses,
+        wanted: &wanted,
+        drained: &BTreeSet::new(),
+    })
+}
+
+/// Starts the repair time of new and changed groups; returns how many there are.
+fn note_changes(
+    record: &PlacementRecord,
+    ready_at: &mut BTreeMap<SmolStr, (u64, f64)>,
+    now: f64,
+) -> u64 {
+    ready_at.retain(|group, _| record.groups.contains_key(group));
+    let mut changed = 0;
+    for group in record.groups.values() {
+        let known = ready_at.get(&group.group);
+        if known.is_some_and(|(generation, _)| *generation == group.generation) {
+            continue;
+        }
+        changed += 1;
+        ready_at.insert(group.group.clone(), (group.generation, now + REPAIR_H));
+    }
+    changed
+}
+
+fn zone_config(plan: &MonthPlan) -> FleetConfig {
+    let mut text = String::from("[zone z]\nregion = r\n");
+    for domain in 0..plan.domains {
+        let _ = writeln!(text, "[domain d{domain}]\nzone = z");
+        for vm in 0..plan.vms_per_domain {
+            let _ = writeln!(text, "[vm d{domain}-{vm:02}]\ndomain = d{domain}");
+            let _ = writeln!(text, "address = 10.0.{domain}.{}:1", vm + 1);
+        }
+    }
+    let _ = writeln!(
+        text,
+        "[model m]\nversion = v\nvms-per-group = {}",
+        plan.vms_per_group
+    );
+    let _ = writeln!(text, "groups = {}", plan.groups);
+    let files = BTreeMap::from([(format_smolstr!("zone.ini"), text)]);
+    FleetConfig::parse(&files).expect("the files are valid")
+}
--- /dev/null
+++ b/lab/src/measure/slope_bench.rs
@@ -0,0 +1,363 @@
+//! Slopes for the capacity page: time and bytes of single decisions by size.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::claims::ClaimAnswer;
+use jujuberoad::claims::ClaimEntry;
+use jujuberoad::claims::ClaimKey;
+use jujuberoad::claims::ClaimPage;
+use jujuberoad::claims::PAGE_ENTRIES;
+use jujuberoad::config::FleetConfig;
+use jujuberoad::health::EnginePhase;
+use jujuberoad::health::GateState;
+use jujuberoad::health::MemberReport;
+use jujuberoad::ids::ZoneId;
+use jujuberoad::membership::HomeTable;
+use jujuberoad::outcome::Outcome;
+use jujuberoad::peer::PEER_VERSION;
+use jujuberoad::peer::PeerFrame;
+use jujuberoad::peer::PeerMessage;
+use jujuberoad::placement::DomainPlanner;
+use jujuberoad::placement::PlacementPlanner;
+use jujuberoad::placement::PlacementRecord;
+use jujuberoad::placement::PlanInput;
+use jujuberoad::placement::VmStatus;
+use jujuberoad::routing::ChoiceHint;
+use jujuberoad::routing::PrefixChooser;
+use jujuberoad::routing::RouteTable;
+use jujuberoad::routing::TargetChooser;
+use jujuberoad::routing::TargetLoad;
+use jujuberoad::slots::SlotGrant;
+use jujuberoad::slots::SlotHome;
+use jujuberoad::slots::SlotRequest;
+use jujuberoad::slots::WalletState;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use super::spread_bench::router_list;
+
+/// Time for which each operation is repeated.
+const REPEAT: Duration = Duration::from_millis(150);
+
+/// Prints the time of each decision at three sizes, and the bytes of records.
+pub fn slope_bench() -> String {
+    let mut text = String::from("decision                          size   us each\n");
+    for routers in [5, 50, 380] {
+        line(
+            &mut text,
+            "home of one target, by routers",
+            routers,
+            home_us(routers),
+        );
+    }
+    for holders in [3, 27, 380] {
+        line(
+            &mut text,
+            "slot request at home, by routers",
+            holders,
+            request_us(holders),
+        );
+    }
+    for groups in [3, 12, 111] {
+        line(
+            &mut text,
+            "choice of a group, by groups",
+            groups,
+            choice_us(groups),
+        );
+    }
+    let mut records = String::from("\nrecord                            size     bytes\n");
+    for workers in [30, 120, 890] {
+        let world = ZoneWorld::new(workers);
+        line(
+            &mut text,
+            "configuration parsed, by VMs",
+            workers,
+            world.parse_us(),
+        );
+        line(
+            &mut text,
+            "table of targets built, by VMs",
+            workers,
+            world.table_us(),
+        );
+        line(
+            &mut text,
+            "zone planned, by VMs of fleet",
+            workers,
+            world.plan_us(),
+        );
+        byte_line(
+            &mut records,
+            "configuration, by VMs",
+            workers,
+            world.config_bytes(),
+        );
+        byte_line(
+            &mut records,
+            "placement of a zone, by VMs",
+            workers,
+            world.placement_bytes(),
+        );
+    }
+    for routers in [5, 50, 380] {
+        let bytes = serde_json::to_vec(&router_list(routers)).map_or(0, |bytes| bytes.len());
+        byte_line(&mut records, "list of routers", routers, bytes);
+    }
+    byte_line(&mut records, "slot request and grant", 1, slot_bytes());
+    byte_line(
+        &mut records,
+        "report of an engine (JSON)",
+        1,
+        report_bytes(),
+    );
+    byte_line(
+        &mut records,
+        "page of claims, 128 B answers",
+        PAGE_ENTRIES,
+        page_bytes(),
+    );
+    text + &records
+}
+
+fn line(text: &mut String, name: &str, size: usize, us: f64) {
+    let _ = writeln!(text, "{name:<32} {size:>5}  {us:>8.2}");
+}
+
+fn byte_line(text: &mut String, name: &str, size: usize, bytes: usize) {
+    let _ = writeln!(text, "{name:<32} {size:>5}  {bytes:>8}");
+}
+
+/// Repeats `operation` and returns its mean time in microseconds.
+fn time_us(mut operation: impl FnMut()) -> f64 {
+    let started_at = Instant::now();
+    let mut count = 0_u64;
+    while started_at.elapsed() < REPEAT {
+        operation();
+        count += 1;
+    }
+    started_at.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+fn home_us(routers: usize) -> f64 {
+    let list = router_list(routers);
+    let table = HomeTable::new(&list);
+    let mut number = 0_u64;
+    time_us(|| {
+        number += 1;
+        std::hint::black_box(table.home(&format!("group-{}", number % 111), "z1"));
+    })
+}
+
+fn slot_request(router: usize, number: u64) -> SlotRequest {
+    SlotRequest {
+        target: "region-1-zone-1-g17".into(),
+        router: format_smolstr!("router-{router:03}"),
+        incarnation: u64::MAX,
+        epoch: 1_000,
+        number,
+        applied: number - 1,
+        in_use: 1,
+        wanted: 1,
+        is_to_standby: false,
+    }
+}
+
+fn request_us(holders: usize) -> f64 {
+    let origin = Instant::now();
+    let mut home = SlotHome::new("region-1-zone-1-g17".into(), 1_000, false, origin);
+    home.set_limits(64, 2, 1);
+    home.set_gate(GateState::Warm {
+        until: origin + Duration::from_secs(3_600),
+    });
+    let (mut router, mut number) = (0, 1);
+    time_us(|| {
+        std::hint::black_box(home.request(&slot_request(router, number), origin));
+        router += 1;
+        if router == holders {
+            router = 0;
+            number += 1;
+        }
+    })
+}
+
+fn choice_us(groups: usize) -> f64 {
+    let loads: Vec<TargetLoad> = (0..groups)
+        .map(|index| TargetLoad {
+            target: format_smolstr!("region-1-zone-1-g{index}"),
+            is_near: index % 10 == 0,
+            state: WalletState::Warm,
+            spare: index as u32 % 3,
+            free: index as u32 % 20,
+            in_use: 3,
+            slots: 64,
+        })
+        .collect();
+    let mut prefix = 0;
+    time_us(|| {
+        prefix += 1;
+        std::hint::black_box(PrefixChooser.rank(
+            &loads,
+            &ChoiceHint {
+                prefix: Some(prefix),
+            },
+        ));
+    })
+}
+
+/// A fleet of ten zones whose VMs all run.
+struct ZoneWorld {
+    files: BTreeMap<SmolStr, String>,
+    config: FleetConfig,
+    placements: BTreeMap<ZoneId, PlacementRecord>,
+}
+
+impl ZoneWorld {
+    fn new(workers: usize) -> Self {
+        let mut text = String::new();
+        for zone in 0..10 {
+            let _ = writeln!(text, "[zone z{zone}]\nregion = r{}", zone % 3);
+            let _ = writeln!(text, "[domain z{zone}-a]\nzone = z{zone}");
+            for vm in 0..workers / 10 {
+                let _ = writeln!(text, "[vm z{zone}-{vm:03}]\ndomain = z{zone}-a");
+                let _ = writeln!(
+                    text,
+                    "address = 10.{zone}.{}.1:9000\naccelerators = 8",
+                    vm + 1
+                );
+            }
+        }
+        let per_group = (workers / 10).min(8);
+        let _ = writeln!(text, "[model m]\nversion = v\nvms-per-group = {per_group}");
+        let _ = writeln!(
+            text,
+            "groups = {}\nslots = 64\ncold-slots = 2",
+            workers / per_group
+        );
+        let files = BTreeMap::from([("fleet.ini".into(), text)]);
+        let config = FleetConfig::parse(&files).expect("the files are valid");
+        let mut world = Self {
+            files,
+            config,
+            placements: BTreeMap::new(),
+        };
+        for zone in world.config.zones.keys().cloned().collect::<Vec<_>>() {
+            let placement = world.plan(&zone, &PlacementRecord::empty(zone.clone()));
+            world.placements.insert(zone, placement);
+        }
+        world
+    }
+
+    fn plan(&self, zone: &ZoneId, current: &PlacementRecord) -> PlacementRecord {
+        let mut vms = BTreeMap::new();
+        for vm in self.config.vms.values().filter(|vm| vm.zone == *zone) {
+            let status = VmStatus {
+                incarnation: 1,
+                leaving: false,
+                ready: true,
+            };
+            vms.insert(vm.vm.clone(), status);
+        }
+        DomainPlanner.plan(&PlanInput {
+            config: &self.config,
+            current,
+            vms: &vms,
+            wanted: &BTreeMap::from([("m".into(), 20)]),
+            drained: &Default::default(),
+        })
+    }
+
+    fn parse_us(&self) -> f64 {
+        time_us(|| {
+            let _ = std::hint::black_box(FleetConfig::parse(&self.files));
+        })
+    }
+
+    fn table_us(&self) -> f64 {
+        time_us(|| {
+            std::hint::black_box(RouteTable::build(&self.config, &self.placements));
+        })
+    }
+
+    fn plan_us(&self) -> f64 {
+        let zone: ZoneId = "z1".into();
+        time_us(|| {
+            std::hint::black_box(self.plan(&zone, &self.placements[&zone]));
+        })
+    }
+
+    fn config_bytes(&self) -> usize {
+        self.files.values().map(String::len).sum()
+    }
+
+    fn placement_bytes(&self) -> usize {
+        serde_json::to_vec(&self.placements["z1"]).map_or(0, |bytes| bytes.len())
+    }
+}
+
+fn frame_bytes(message: PeerMessage) -> usize {
+    let sender = "router-region-1-380".into();
+    let frame = PeerFrame {
+        version: PEER_VERSION,
+        sender,
+        exchange: u64::MAX,
+        message,
+    };
+    postcard::to_stdvec(&frame).map_or(0, |bytes| bytes.len())
+}
+
+fn slot_bytes() -> usize {
+    let grant = SlotGrant {
+        target: "region-1-zone-1-g17".into(),
+        epoch: 1_000,
+        number: 100_000,
+        slots: 3,
+        valid_ms: 1_000,
+        generation: 40,
+        is_cold: false,
+        free: 20,
+        refusal: None,
+    };
+    let request = frame_bytes(PeerMessage::SlotRequest(slot_request(300, 100_000)));
+    request + frame_bytes(PeerMessage::SlotGrant(grant))
+}
+
+fn report_bytes() -> usize {
+    let report = MemberReport {
+        vm: "region-1-zone-1-080".into(),
+        incarnation: u64::MAX,
+        group: "region-1-zone-1-g17".into(),
+        generation: 40,
+        model: "modelo-secado".into(),
+        version: "2026-11".into(),
+        phase: EnginePhase::Warm,
+        in_flight: 60,
+        age_ms: 100,
+        fence: 12,
+    };
+    serde_json::to_vec(&report).map_or(0, |bytes| bytes.len())
+}
+
+fn page_bytes() -> usize {
+    let mut page = ClaimPage::default();
+    for index in 0..PAGE_ENTRIES {
+        let answer = ClaimAnswer {
+            outcome: Outcome::Answered,
+            status: 201,
+            body: vec![b'x'; 128],
+            is_cut: false,
+        };
+        let key = ClaimKey::of("team", "service", &index.to_string());
+        page.entries.insert(
+            key,
+            ClaimEntry {
+                nonce: u64::MAX,
+                answer: Some(answer),
+            },
+        );
+    }
+    postcard::to_stdvec(&page).map_or(0, |bytes| bytes.len())
+}
