slots: a router says what it holds, and gives back what it does not need

Cause: a home charged a router for the slots of two grants until the router had told it about the second; routers with few requests fell silent in between and were charged for a second and longer. Ruled out: shorter leases alone, which renew more and still charge twice. Change: each request says how many slots the router may use until it has the answer; only the answer to the newest request counts, so all earlier ones are void; unused slots go back at once when the home has no others.

--- a/lab/src/measure/slope_bench.rs
+++ b/lab/src/measure/slope_bench.rs
@@ -159,8 +159,8 @@
         incarnation: u64::MAX,
         epoch: 1_000,
         number,
-        applied: number - 1,
         in_use: 1,
+        holding: 1,
         wanted: 1,
         is_to_standby: false,
     }
--- a/lib/src/slots/slot_holder.rs
+++ b/lib/src/slots/slot_holder.rs
@@ -5,14 +5,11 @@
 use super::SlotRequest;
 use crate::ids::Incarnation;
 
-/// A promise of slots that the router may have acted on.
-#[derive(Clone, Copy, Debug)]
-struct SlotPromise {
-    number: u64,
-    slots: u32,
-}
-
-/// The newest request of a router and the promises made to it.
+/// The newest request of a router and the answer to it.
+///
+/// A router applies no answer but that to its newest request. When the home
+/// has seen that request, all earlier answers are void, whether or not they
+/// arrived: until the new one does, the router acts on what it says it holds.
 #[derive(Clone, Debug)]
 pub(super) struct SlotHolder {
     pub(super) incarnation: Incarnation,
@@ -21,7 +18,8 @@
     pub(super) desired: u32,
     pub(super) turn_from: Instant,
     pub(super) silent_at: Instant,
-    promises: Vec<SlotPromise>,
+    holding: u32,
+    granted: u32,
 }
 
 impl SlotHolder {
@@ -33,32 +31,31 @@
             desired: 0,
             turn_from: now,
             silent_at,
-            promises: Vec::new(),
+            holding: 0,
+            granted: 0,
         }
     }
 
-    /// Takes a newer request; promises older than the applied one are void.
-    ///
-    /// A promise that has ended by time alone is kept: the router may have used
-    /// it after it sent its newest request.
+    /// Takes a newer request.
     pub(super) fn observe(&mut self, request: &SlotRequest, silent_at: Instant) {
         self.number = request.number;
         self.in_use = request.in_use;
+        self.holding = request.holding;
+        self.granted = 0;
         self.desired = request.in_use.saturating_add(request.wanted);
         self.silent_at = silent_at;
-        self.promises
-            .retain(|promise| promise.number >= request.applied);
     }
 
-    pub(super) fn promise(&mut self, number: u64, slots: u32) {
-        self.promises.push(SlotPromise { number, slots });
+    /// Notes the answer to the newest request.
+    pub(super) fn grant(&mut self, slots: u32) {
+        self.granted = slots;
     }
 
     /// Returns the most requests that the router may have in progress.
+    ///
+    /// An answer that has ended by time alone still counts: the router may have
+    /// used it after it sent its newest request.
     pub(super) fn charge(&self) -> u32 {
-        self.promises
-            .iter()
-            .map(|promise| promise.slots)
-            .fold(self.in_use, u32::max)
+        self.in_use.max(self.holding).max(self.granted)
     }
 }
--- a/lib/src/slots/slot_home.rs
+++ b/lib/src/slots/slot_home.rs
@@ -176,7 +176,7 @@
         let lease_ends_at = now + Duration::from_millis(SLOT_LEASE_MS);
         let ends_at = lease_ends_at.min(until);
         let valid = ends_at.saturating_duration_since(now);
-        holder.promise(request.number, slots);
+        holder.grant(slots);
         let is_refused = slots == 0 && holder.desired > 0;
         SlotGrant {
             target: self.target.clone(),
--- a/lib/src/slots/slot_request.rs
+++ b/lib/src/slots/slot_request.rs
@@ -21,10 +21,11 @@
     pub epoch: Epoch,
     /// Grows with each request of this router for this target.
     pub number: u64,
-    /// Number of the newest grant that the router has applied.
-    pub applied: u64,
     /// Requests that the router has in progress on the target.
     pub in_use: u32,
+    /// Slots that the router may use until it has the answer, those in use
+    /// included; it has given back what it held beyond.
+    pub holding: u32,
     /// Further requests that it would start at once.
     pub wanted: u32,
     /// Whether the target's home does not answer and its standby is asked.
--- a/lib/src/slots/slot_wallet.rs
+++ b/lib/src/slots/slot_wallet.rs
@@ -34,7 +34,6 @@
     incarnation: Incarnation,
     epoch: Epoch,
     number: u64,
-    applied: u64,
     sent_at: Option<Instant>,
     misses: u32,
     slots: u32,
@@ -56,7 +55,6 @@
             incarnation,
             epoch: 0,
             number: 0,
-            applied: 0,
             sent_at: None,
             misses: 0,
             slots: 0,
@@ -149,12 +147,21 @@
     }
 
     /// Tells whether held slots are to be renewed or given back.
+    ///
+    /// Slots that are not used are given back at once when the home has no
+    /// others left.
     pub fn is_renewal_due(&self, now: Instant) -> bool {
         let Some(sent_at) = self.sent_at else {
             return false;
         };
-        let renew_at = sent_at + Duration::from_millis(SLOT_RENEW_MS);
-        now >= renew_at && (self.in_use > 0 || self.slots > 0 || self.taken > 0)
+        let is_idle = self.slots > self.in_use;
+        let pause_ms = if is_idle && self.free == 0 {
+            SLOT_FULL_PAUSE_MS
+        } else {
+            SLOT_RENEW_MS
+        };
+        let is_due = now >= sent_at + Duration::from_millis(pause_ms);
+        is_due && (self.in_use > 0 || self.slots > 0)
     }
 
     /// Tells whether more slots may be asked for: no answer is on its way, and
@@ -175,8 +182,12 @@
     }
 
     /// Returns how many slots to keep ready for requests yet to come: as many
-    /// as were taken since the last request, up to an eighth of `limit`.
+    /// as were taken since the last request, up to an eighth of `limit`, and
+    /// none when the home has no others left.
     pub fn cushion(&self, limit: u32) -> u32 {
+        if self.free == 0 {
+            return 0;
+        }
         self.taken.min(limit / CUSHION_DIVISOR)
     }
 
@@ -185,7 +196,8 @@
         self.misses > HOME_MISSES
     }
 
-    /// Returns the next request for the home or, when that is silent, for its standby.
+    /// Gives back what is neither in use nor wanted, and returns the next
+    /// request for the home or, when that is silent, for its standby.
     pub fn request(&mut self, epoch: Epoch, wanted: u32, now: Instant) -> SlotRequest {
         let is_to_standby = self.is_home_silent() && self.misses.is_multiple_of(2);
         self.epoch = epoch;
@@ -193,14 +205,21 @@
         self.misses = self.misses.saturating_add(1);
         self.sent_at = Some(now);
         self.taken = 0;
+        let is_valid = self.valid_until.is_some_and(|until| now < until);
+        let holding = if is_valid {
+            self.slots.min(self.in_use + wanted)
+        } else {
+            0
+        };
+        self.slots = holding;
         SlotRequest {
             target: self.target.clone(),
             router: self.router.clone(),
             incarnation: self.incarnation,
             epoch,
             number: self.number,
-            applied: self.applied,
             in_use: self.in_use,
+            holding: holding.max(self.in_use),
             wanted,
             is_to_standby,
         }
@@ -215,7 +234,6 @@
             return false;
         }
         self.misses = 0;
-        self.applied = grant.number;
         self.slots = grant.slots;
         self.free = grant.free;
         self.generation = grant.generation;
