slots: a request that outlives its slot is reported to its end

Cause: a router whose turn was over had no slot while its request ran on; when that ended, it had nothing to renew and fell silent, and the home went on charging it. Found by printing the home's charge in the slots driver: 32 charged, 0 held.

--- a/lib/src/slots/slot_wallet.rs
+++ b/lib/src/slots/slot_wallet.rs
@@ -44,6 +44,8 @@
     in_use: u32,
     taken: u32,
     suspended_until: Option<Instant>,
+    asked_charge: u32,
+    home_charge: u32,
 }
 
 impl SlotWallet {
@@ -65,6 +67,8 @@
             in_use: 0,
             taken: 0,
             suspended_until: None,
+            asked_charge: 0,
+            home_charge: 0,
         }
     }
 
@@ -149,19 +153,19 @@
     /// Tells whether held slots are to be renewed or given back.
     ///
     /// Slots that are not used are given back at once when the home has no
-    /// others left.
+    /// others left. A router goes on until the home charges it for nothing.
     pub fn is_renewal_due(&self, now: Instant) -> bool {
         let Some(sent_at) = self.sent_at else {
             return false;
         };
-        let is_idle = self.slots > self.in_use;
+        let is_idle = self.slots.max(self.home_charge) > self.in_use;
         let pause_ms = if is_idle && self.free == 0 {
             SLOT_FULL_PAUSE_MS
         } else {
             SLOT_RENEW_MS
         };
         let is_due = now >= sent_at + Duration::from_millis(pause_ms);
-        is_due && (self.in_use > 0 || self.slots > 0)
+        is_due && (self.in_use > 0 || self.slots > 0 || self.home_charge > 0)
     }
 
     /// Tells whether more slots may be asked for: no answer is on its way, and
@@ -212,6 +216,8 @@
             0
         };
         self.slots = holding;
+        self.asked_charge = holding.max(self.in_use);
+        self.home_charge = self.home_charge.max(self.asked_charge);
         SlotRequest {
             target: self.target.clone(),
             router: self.router.clone(),
@@ -219,7 +225,7 @@
             epoch,
             number: self.number,
             in_use: self.in_use,
-            holding: holding.max(self.in_use),
+            holding: self.asked_charge,
             wanted,
             is_to_standby,
         }
@@ -234,6 +240,7 @@
             return false;
         }
         self.misses = 0;
+        self.home_charge = self.asked_charge.max(grant.slots);
         self.slots = grant.slots;
         self.free = grant.free;
         self.generation = grant.generation;
--- a/lib/tests/test_slot_home.rs
+++ b/lib/tests/test_slot_home.rs
@@ -196,3 +196,27 @@
     assert_eq!(case.home.charge(), 0);
     assert_eq!(case.ask(&mut second, 2, ms + 5_000).slots, 2);
 }
+
+#[test]
+fn a_request_that_outlives_its_slot_is_given_back_too() {
+    let mut case = HomeCase::new(true, false);
+    let (mut first, mut second) = (wallet("r1"), wallet("r2"));
+    let grant = case.ask(&mut first, 2, 0);
+    assert!(first.apply(&grant));
+    assert!(first.take(1, case.at(10)).is_some());
+    let grant = case.ask(&mut first, 0, 250);
+    // Its turn is over while one request is still in progress.
+    let refusal = Some(SlotRefusal::Full);
+    assert!(first.apply(&SlotGrant {
+        slots: 0,
+        refusal,
+        ..grant
+    }));
+    first.finish();
+    assert!(first.is_renewal_due(case.at(500)));
+    let grant = case.ask(&mut first, 0, 500);
+    assert!(first.apply(&grant));
+    assert_eq!(case.home.charge(), 0);
+    assert!(!first.is_renewal_due(case.at(900)));
+    assert_eq!(case.ask(&mut second, 2, 5_000).slots, 2);
+}
