admission: a team that floods loses its lead over others' long texts

Cause: urgent requests of all teams went before all long texts, so the urgent flood of one team starved the long texts of the others. Change: teams by virtual time, as in start-time fair queueing; urgent requests go first only while their team is at most 4 requests ahead of the one furthest behind.

--- a/lib/src/admission/fair_queue.rs
+++ b/lib/src/admission/fair_queue.rs
@@ -1,11 +1,9 @@
-//! Deficit round robin over teams, class by class.
+//! Fair queueing between teams, with the urgent class first.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use strum::IntoEnumIterator;
-
 use super::DrainRate;
 use super::QueueError;
 use super::QueueTicket;
@@ -13,50 +11,124 @@
 use super::WaitQueue;
 use crate::ids::TeamId;
 
-/// Serves the more urgent class first and, within a class, teams by their shares.
+/// Virtual time that one request of a team with share 1 takes.
+const REQUEST_COST: u64 = 1 << 20;
+/// Virtual time by which a team may be ahead of the others and still have its
+/// urgent requests served before the long texts of others.
+const URGENT_LEAD: u64 = 4 * REQUEST_COST;
+
+/// Serves urgent requests before long texts and teams by their shares.
 ///
-/// A team that floods the queue waits behind itself only. A request that could
-/// not be served before its deadline at the present pace is turned away at once.
+/// Each served request moves the virtual time of its team by an amount that is
+/// inverse to the team's share; the team that is furthest behind is next. A
+/// team that floods the queue runs ahead of the others and loses the right to
+/// have its urgent requests served before what others wait for. A request that
+/// could not be served before its deadline at the present pace is turned away
+/// at once.
 #[derive(Debug, Default)]
 pub struct FairQueue {
-    lanes: BTreeMap<RequestClass, ClassLane>,
-    waiting: BTreeMap<TeamId, u64>,
-    rate: DrainRate,
-}
-
-#[derive(Debug, Default)]
-struct ClassLane {
     teams: BTreeMap<TeamId, TeamLane>,
-    turn: VecDeque<TeamId>,
+    /// Virtual time of the request that was served last.
+    clock: u64,
+    waiting: usize,
+    rate: DrainRate,
 }
 
 #[derive(Debug, Default)]
 struct TeamLane {
-    tickets: VecDeque<QueueTicket>,
-    deficit: u64,
+    urgent: VecDeque<QueueTicket>,
+    long: VecDeque<QueueTicket>,
+    time: u64,
 }
 
 impl FairQueue {
-    /// Returns how many requests are served before a new one of this team and class.
-    fn ahead_of(&self, ticket: &QueueTicket) -> usize {
-        let mut ahead = 0;
-        for (class, lane) in &self.lanes {
-            if *class > ticket.class {
+    /// Returns the team whose urgent requests are next, if any may go first.
+    fn urgent_team(&self) -> Option<TeamId> {
+        let furthest_behind = self.teams.values().map(|team| team.time).min()?;
+        let mut best: Option<(u64, &TeamId)> = None;
+        for (name, team) in &self.teams {
+            let is_ahead = team.time > furthest_behind + URGENT_LEAD;
+            if team.urgent.is_empty() || is_ahead {
                 continue;
             }
-            if *class < ticket.class {
-                ahead += lane.len();
+            if best.is_none_or(|best| (team.time, name) < best) {
+                best = Some((team.time, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
+
+    /// Returns the team that is furthest behind and has a request that may be
+    /// served.
+    fn next_team(&self, lowest: RequestClass) -> Option<TeamId> {
+        let mut best: Option<(u64, &TeamId)> = None;
+        for (name, team) in &self.teams {
+            if lowest == RequestClass::Counter && team.urgent.is_empty() {
                 continue;
             }
-            ahead += lane.ahead_of(ticket);
+            if best.is_none_or(|best| (team.time, name) < best) {
+                best = Some((team.time, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
+
+    fn take(&mut self, name: &TeamId) -> Option<QueueTicket> {
+        let team = self.teams.get_mut(name)?;
+        let ticket = team.urgent.pop_front().or_else(|| team.long.pop_front())?;
+        self.clock = self.clock.max(team.time);
+        team.time += REQUEST_COST / ticket.share.max(1);
+        self.waiting -= 1;
+        if team.is_empty() {
+            self.teams.remove(name);
+        }
+        Some(ticket)
+    }
+
+    /// Returns how many requests are served before a new one like `ticket`, by
+    /// and large: those of its team, and as many of each other team as its
+    /// share allows in that time.
+    fn ahead_of(&self, ticket: &QueueTicket) -> usize {
+        let own = self
+            .teams
+            .get(&ticket.team)
+            .map_or(0, |team| team.count(ticket.class));
+        let rounds = own as u64 / ticket.share.max(1) + 1;
+        let mut ahead = own;
+        for (name, team) in &self.teams {
+            if *name == ticket.team {
+                continue;
+            }
+            let share = team.share();
+            ahead += team.count(ticket.class).min((rounds * share) as usize);
         }
         ahead
     }
+
+    fn take_where(&mut self, matches: impl Fn(&QueueTicket) -> bool) -> Vec<QueueTicket> {
+        let mut taken = Vec::new();
+        for team in self.teams.values_mut() {
+            for lane in [&mut team.urgent, &mut team.long] {
+                let tickets = std::mem::take(lane);
+                for ticket in tickets {
+                    if matches(&ticket) {
+                        taken.push(ticket);
+                        continue;
+                    }
+                    lane.push_back(ticket);
+                }
+            }
+        }
+        self.teams.retain(|_, team| !team.is_empty());
+        self.waiting -= taken.len();
+        taken
+    }
 }
 
 impl WaitQueue for FairQueue {
     fn push(&mut self, ticket: QueueTicket, now: Instant) -> Result<(), QueueError> {
-        let waiting = self.waiting.get(&ticket.team).copied().unwrap_or(0);
+        let team = self.teams.get(&ticket.team);
+        let waiting = team.map_or(0, |team| team.count(RequestClass::Receipt)) as u64;
         let ahead = self.ahead_of(&ticket);
         if waiting >= ticket.team_limit {
             return Err(QueueError::TeamFull {
@@ -76,128 +148,56 @@
                 retry_at,
             });
         }
-        *self.waiting.entry(ticket.team.clone()).or_default() += 1;
-        self.lanes.entry(ticket.class).or_default().push(ticket);
+        let clock = self.clock;
+        let team = self.teams.entry(ticket.team.clone());
+        let team = team.or_insert_with(|| TeamLane {
+            time: clock,
+            ..TeamLane::default()
+        });
+        match ticket.class {
+            RequestClass::Counter => team.urgent.push_back(ticket),
+            RequestClass::Receipt => team.long.push_back(ticket),
+        }
+        self.waiting += 1;
         Ok(())
     }
 
     fn pop(&mut self, lowest: RequestClass, now: Instant) -> Option<QueueTicket> {
-        for class in RequestClass::iter().filter(|class| *class <= lowest) {
-            let Some(lane) = self.lanes.get_mut(&class) else {
-                continue;
-            };
-            let Some(ticket) = lane.pop() else { continue };
-            release_team(&mut self.waiting, &ticket.team);
-            let leaves_others = !self.is_empty();
-            self.rate.observe(leaves_others, now);
-            return Some(ticket);
-        }
-        None
+        let team = self.urgent_team().or_else(|| self.next_team(lowest))?;
+        let ticket = self.take(&team)?;
+        let leaves_others = self.waiting > 0;
+        self.rate.observe(leaves_others, now);
+        Some(ticket)
     }
 
     fn expire(&mut self, now: Instant) -> Vec<QueueTicket> {
-        let mut expired = Vec::new();
-        for lane in self.lanes.values_mut() {
-            expired.extend(lane.take_where(|ticket| now >= ticket.expires_at));
-        }
-        for ticket in &expired {
-            release_team(&mut self.waiting, &ticket.team);
-        }
-        expired
+        self.take_where(|ticket| now >= ticket.expires_at)
     }
 
     fn cancel(&mut self, id: u64) -> bool {
-        for lane in self.lanes.values_mut() {
-            if let Some(ticket) = lane.take_where(|ticket| ticket.id == id).pop() {
-                release_team(&mut self.waiting, &ticket.team);
-                return true;
-            }
-        }
-        false
+        !self.take_where(|ticket| ticket.id == id).is_empty()
     }
 
     fn len(&self) -> usize {
-        self.lanes.values().map(ClassLane::len).sum()
+        self.waiting
     }
 }
 
-impl ClassLane {
-    fn len(&self) -> usize {
-        self.teams.values().map(|team| team.tickets.len()).sum()
-    }
-
-    fn push(&mut self, ticket: QueueTicket) {
-        let team = self.teams.entry(ticket.team.clone()).or_default();
-        if team.tickets.is_empty() {
-            team.deficit = 0;
-            self.turn.push_back(ticket.team.clone());
-        }
-        team.tickets.push_back(ticket);
-    }
-
-    fn pop(&mut self) -> Option<QueueTicket> {
-        let name = self.turn.front()?.clone();
-        let team = self.teams.get_mut(&name)?;
-        let share = team.tickets.front().map_or(1, |ticket| ticket.share.max(1));
-        if team.deficit == 0 {
-            team.deficit = share;
-        }
-        team.deficit -= 1;
-        let ticket = team.tickets.pop_front();
-        if team.tickets.is_empty() || team.deficit == 0 {
-            self.turn.pop_front();
-        }
-        if team.tickets.is_empty() {
-            self.teams.remove(&name);
-        } else if team.deficit == 0 {
-            self.turn.push_back(name);
-        }
-        ticket
-    }
-
-    fn take_where(&mut self, matches: impl Fn(&QueueTicket) -> bool) -> Vec<QueueTicket> {
-        let mut taken = Vec::new();
-        for team in self.teams.values_mut() {
-            let tickets = std::mem::take(&mut team.tickets);
-            for ticket in tickets {
-                if matches(&ticket) {
-                    taken.push(ticket);
-                    continue;
-                }
-                team.tickets.push_back(ticket);
-            }
-        }
-        self.teams.retain(|_, team| !team.tickets.is_empty());
-        self.turn.retain(|name| self.teams.contains_key(name));
-        taken
+impl TeamLane {
+    fn is_empty(&self) -> bool {
+        self.urgent.is_empty() && self.long.is_empty()
     }
 
-    /// Returns how many requests of this class come before a new one: those of
-    /// its own team, and for each of them what the other teams' shares allow.
-    fn ahead_of(&self, ticket: &QueueTicket) -> usize {
-        let own = self
-            .teams
-            .get(&ticket.team)
-            .map_or(0, |team| team.tickets.len());
-        let rounds = own as u64 / ticket.share.max(1) + 1;
-        let mut ahead = own;
-        for (name, team) in &self.teams {
-            if *name == ticket.team {
-                continue;
-            }
-            let share = team.tickets.front().map_or(1, |other| other.share.max(1));
-            ahead += team.tickets.len().min((rounds * share) as usize);
+    /// Counts the requests of class `lowest` and the more urgent ones.
+    fn count(&self, lowest: RequestClass) -> usize {
+        match lowest {
+            RequestClass::Counter => self.urgent.len(),
+            RequestClass::Receipt => self.urgent.len() + self.long.len(),
         }
-        ahead
     }
-}
 
-fn release_team(waiting: &mut BTreeMap<TeamId, u64>, team: &TeamId) {
-    let Some(count) = waiting.get_mut(team) else {
-        return;
-    };
-    *count -= 1;
-    if *count == 0 {
-        waiting.remove(team);
+    fn share(&self) -> u64 {
+        let ticket = self.urgent.front().or_else(|| self.long.front());
+        ticket.map_or(1, |ticket| ticket.share.max(1))
     }
 }
