placement: spares hold the model of their fabric domain ready

Ruled out: choosing other domains, which the same members would have to load in. The model: 4 minutes to load, 10 s to join, steps of 20 s. Also: the configuration register is checked for linearizability with four racing operators, a slow store and lost answers (green), with a control.

--- a/lab/src/measure/placement_bench.rs
+++ b/lab/src/measure/placement_bench.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 
 use jujuberoad::config::FleetConfig;
+use jujuberoad::ids::ModelId;
 use jujuberoad::ids::VmId;
 use jujuberoad::placement::DomainPlanner;
 use jujuberoad::placement::FirstFitPlanner;
@@ -19,8 +20,12 @@
 use super::next_interval;
 
 const HOURS: f64 = 24.0 * 30.0;
-/// Time to find a lost VM, order its replacement and load the model, in hours.
-const REPAIR_H: f64 = 4.0 / 60.0;
+/// Time to load a model, in hours.
+const LOAD_H: f64 = 4.0 / 60.0;
+/// Time to find a lost VM and to have engines that hold the model join, in hours.
+const JOIN_H: f64 = 10.0 / 3_600.0;
+/// Step of the model, in hours.
+const STEP_H: f64 = 20.0 / 3_600.0;
 /// Accelerators of a VM.
 const ACCELERATORS: f64 = 8.0;
 
@@ -60,9 +65,9 @@
             racks: RACKS_OF_890 * today,
         },
         MonthPlan {
-            name: "target, a zone of 89 VMs",
-            domains: 4,
-            vms_per_domain: 22,
+            name: "target, a zone of 90 VMs",
+            domains: 5,
+            vms_per_domain: 18,
             vms_per_group: 8,
             groups: 10,
             failures: FAILURES_OF_890 * target,
@@ -94,6 +99,8 @@
 struct VmModel {
     incarnation: u64,
     back_at: f64,
+    /// When the model is loaded; never, while it is not being loaded.
+    loaded_at: f64,
 }
 
 fn run(plan: &MonthPlan, planner: &dyn PlacementPlanner, seed: u64) -> String {
@@ -102,7 +109,8 @@
     let mut vms = vec![
         VmModel {
             incarnation: 1,
-            back_at: 0.0
+            back_at: 0.0,
+            loaded_at: f64::INFINITY
         };
         names.len()
     ];
@@ -117,12 +125,19 @@
         // VMs come back and groups become ready.
         let mut left = interval;
         while left > 0.0 && now < HOURS {
-            let step = left.min(1.0 / 60.0);
+            let step = left.min(STEP_H);
             now += step;
             left -= step;
             let statuses = statuses(&names, &vms, now);
-            record = plan_next(planner, &config, &record, &statuses, plan.groups);
-            rebuilt += note_changes(&record, &mut ready_at, now);
+            let (next, preloads) = plan_next(planner, &config, &record, &statuses, plan.groups);
+            record = next;
+            load(&names, &mut vms, &record, &preloads, now);
+            let loaded: BTreeMap<&VmId, f64> = names
+                .iter()
+                .zip(&vms)
+                .map(|(name, vm)| (name, vm.loaded_at))
+                .collect();
+            rebuilt += note_changes(&record, &loaded, &mut ready_at, now);
             let serving = record
                 .groups
                 .values()
@@ -158,6 +173,25 @@
     for vm in vms.iter_mut().skip(first).take(count) {
         vm.incarnation += 1;
         vm.back_at = vm.back_at.max(now + away_h);
+        vm.loaded_at = f64::INFINITY;
+    }
+}
+
+/// Starts to load VMs that need the model and unloads those that do not.
+fn load(
+    names: &[VmId],
+    vms: &mut [VmModel],
+    record: &PlacementRecord,
+    preloads: &BTreeMap<VmId, ModelId>,
+    now: f64,
+) {
+    for (name, vm) in names.iter().zip(vms) {
+        let is_needed = record.group_of(name).is_some() || preloads.contains_key(name);
+        if !is_needed {
+            vm.loaded_at = f64::INFINITY;
+        } else if vm.loaded_at == f64::INFINITY {
+            vm.loaded_at = now + LOAD_H;
+        }
     }
 }
 
@@ -165,10 +199,18 @@
     let mut statuses = BTreeMap::new();
     for (name, vm) in names.iter().zip(vms) {
         if vm.back_at <= now {
+            let holds = vm.loaded_at < f64::INFINITY;
+            let model = if holds {
+                "m".into()
+            } else {
+                ModelId::default()
+            };
+            let incarnation = vm.incarnation;
             let status = VmStatus {
-                incarnation: vm.incarnation,
+                incarnation,
                 leaving: false,
                 ready: true,
+                model,
             };
             statuses.insert(name.clone(), status);
         }
@@ -182,20 +224,24 @@
     record: &PlacementRecord,
     statuses: &BTreeMap<VmId, VmStatus>,
     groups: u64,
-) -> PlacementRecord {
+) -> (PlacementRecord, BTreeMap<VmId, ModelId>) {
     let wanted = BTreeMap::from([("m".into(), groups)]);
-    planner.plan(&PlanInput {
+    let input = PlanInput {
         config,
         current: record,
         vms: statuses,
         wanted: &wanted,
         drained: &BTreeSet::new(),
-    })
+    };
+    let planned = planner.plan(&input);
+    let preloads = planner.preloads(&input, &planned);
+    (planned, preloads)
 }
 
 /// Starts the repair time of new and changed groups; returns how many there are.
 fn note_changes(
     record: &PlacementRecord,
+    loaded: &BTreeMap<&VmId, f64>,
     ready_at: &mut BTreeMap<SmolStr, (u64, f64)>,
     now: f64,
 ) -> u64 {
@@ -207,7 +253,9 @@
             continue;
         }
         changed += 1;
-        ready_at.insert(group.group.clone(), (group.generation, now + REPAIR_H));
+        let loaded_at = group.members.iter().map(|member| loaded[&member.vm]);
+        let ready = loaded_at.fold(now, f64::max) + JOIN_H;
+        ready_at.insert(group.group.clone(), (group.generation, ready));
     }
     changed
 }
--- a/lab/src/measure/slope_bench.rs
+++ b/lab/src/measure/slope_bench.rs
@@ -258,6 +258,7 @@
                 incarnation: 1,
                 leaving: false,
                 ready: true,
+                model: "m".into(),
             };
             vms.insert(vm.vm.clone(), status);
         }
--- a/lab/src/standins/engine_state.rs
+++ b/lab/src/standins/engine_state.rs
@@ -102,7 +102,7 @@
             return false;
         }
         let is_same_model = order.model == self.order.model && order.version == self.order.version;
-        if order.group.is_empty() {
+        if order.model.is_empty() {
             self.loaded_at = None;
             self.warm_at = None;
         } else if !is_same_model || self.loaded_at.is_none() {
--- a/lab/tests/test_failures.rs
+++ b/lab/tests/test_failures.rs
@@ -323,7 +323,11 @@
             name: "70-team.ini".into(),
             text: "[team team-three]\nshare = 3\n".to_owned(),
         };
-        let record = fleet.store.edit(&edit).await.expect("the change is accepted");
+        let record = fleet
+            .store
+            .edit(&edit)
+            .await
+            .expect("the change is accepted");
         smol::Timer::after(FORCE_LIMIT).await;
         let status = jujube::status(&fleet.store).await.expect("a status");
         assert_eq!(status.routers.len(), 9);
--- /dev/null
+++ b/lab/tests/test_register.rs
@@ -0,0 +1,229 @@
+//! The configuration is a linearizable register, whatever racing operators and
+//! lost answers do.
+
+mod testutils;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use jujube::CommandError;
+use jujube::ConfigStore;
+use jujube_lab::fleet::LabFleet;
+use jujube_lab::standins::FaultKind;
+use jujuberoad::config::ConfigEdit;
+use jujuberoad::config::EditError;
+use jujuberoad_node::runtime;
+use smol::channel;
+use testutils::strike;
+use testutils::with_fleet;
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::linearizability::history::Action;
+use todc_utils::linearizability::history::History;
+use todc_utils::specifications::Specification;
+
+const OPERATORS: usize = 4;
+const EDITS: usize = 8;
+
+/// One call of an operator and what it showed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RegisterCall {
+    /// An apply on `base` that was accepted, refused, or is in doubt.
+    Apply {
+        base: u64,
+        value: u64,
+        accepted: Option<bool>,
+    },
+    /// A read that showed a revision and the value of the last accepted apply.
+    Read { revision: u64, value: u64 },
+}
+
+struct ConfigRegister;
+
+impl Specification for ConfigRegister {
+    type State = (u64, u64);
+    type Operation = RegisterCall;
+
+    fn init() -> Self::State {
+        (1, 0)
+    }
+
+    fn apply(call: &RegisterCall, state: &Self::State) -> (bool, Self::State) {
+        match call {
+            RegisterCall::Read { revision, value } => ((*revision, *value) == *state, *state),
+            RegisterCall::Apply {
+                base,
+                value,
+                accepted,
+            } => {
+                let fits = *base == state.0;
+                let is_valid = accepted.is_none_or(|accepted| accepted == fits);
+                (is_valid, if fits { (state.0 + 1, *value) } else { *state })
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct RegisterEvent {
+    process: usize,
+    called: Instant,
+    returned: Instant,
+    call: RegisterCall,
+}
+
+fn is_linearizable(events: &[RegisterEvent]) -> bool {
+    let mut actions = Vec::new();
+    let last = events
+        .iter()
+        .map(|event| event.returned)
+        .max()
+        .unwrap_or_else(Instant::now);
+    for event in events {
+        let in_doubt = matches!(event.call, RegisterCall::Apply { accepted: None, .. });
+        let returned = if in_doubt { last } else { event.returned };
+        actions.push((
+            event.called,
+            0,
+            event.process,
+            Action::Call(event.call.clone()),
+        ));
+        actions.push((
+            returned,
+            1,
+            event.process,
+            Action::Response(event.call.clone()),
+        ));
+    }
+    actions.sort_by_key(|(at, order, _, _)| (*at, *order));
+    let actions = actions
+        .into_iter()
+        .map(|(_, _, process, action)| (process, action))
+        .collect();
+    WGLChecker::<ConfigRegister>::is_linearizable(History::from_actions(actions))
+}
+
+fn value_of(files: &std::collections::BTreeMap<smol_str::SmolStr, String>) -> u64 {
+    let text = files.get("80-mark.ini").map_or("", String::as_str);
+    let mark = text.lines().find_map(|line| line.strip_prefix("; mark "));
+    mark.and_then(|mark| mark.parse().ok()).unwrap_or(0)
+}
+
+async fn operate(
+    store: Arc<ConfigStore>,
+    operator: usize,
+    history: Arc<Mutex<Vec<RegisterEvent>>>,
+) {
+    for edit in 0..EDITS {
+        // Each call counts as a process of its own, so that one in doubt does
+        // not keep its operator from going on.
+        let process = 2 * (operator * EDITS + edit);
+        let called = Instant::now();
+        let Ok((record, _)) = store.read().await else {
+            continue;
+        };
+        let read = RegisterCall::Read {
+            revision: record.revision,
+            value: value_of(&record.files),
+        };
+        note(&history, process, called, read);
+        let value = (operator * 1_000 + edit + 1) as u64;
+        let mut files = record.files.clone();
+        files.insert("80-mark.ini".into(), format!("; mark {value}\n"));
+        let base = record.revision;
+        let called = Instant::now();
+        let accepted = match store.edit(&ConfigEdit::Apply { base, files }).await {
+            Ok(_) => Some(true),
+            Err(CommandError::Edit(EditError::Outdated { .. })) => Some(false),
+            Err(CommandError::InDoubt { .. }) => None,
+            // Nothing was written.
+            Err(_) => continue,
+        };
+        note(
+            &history,
+            process + 1,
+            called,
+            RegisterCall::Apply {
+                base,
+                value,
+                accepted,
+            },
+        );
+    }
+}
+
+fn note(history: &Mutex<Vec<RegisterEvent>>, process: usize, called: Instant, call: RegisterCall) {
+    let event = RegisterEvent {
+        process,
+        called,
+        returned: Instant::now(),
+        call,
+    };
+    history.lock().expect("history lock").push(event);
+}
+
+#[test]
+fn racing_operators_see_one_register() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        strike(fleet, FaultKind::StoreSlow, "", 15).await;
+        strike(fleet, FaultKind::StoreLoses, "", 6).await;
+        let history = Arc::new(Mutex::new(Vec::new()));
+        let (sender, receiver) = channel::unbounded::<()>();
+        for operator in 0..OPERATORS {
+            let store = Arc::new(ConfigStore::at(fleet.world.platform));
+            let (history, sender) = (Arc::clone(&history), sender.clone());
+            runtime::spawn(async move {
+                operate(store, operator, history).await;
+                drop(sender);
+            });
+        }
+        drop(sender);
+        let _ = receiver.recv().await;
+        let events = history.lock().expect("history lock").clone();
+        let accepted = events.iter().filter(|event| {
+            matches!(
+                event.call,
+                RegisterCall::Apply {
+                    accepted: Some(true),
+                    ..
+                }
+            )
+        });
+        assert!(accepted.count() >= EDITS, "too few edits were accepted");
+        assert!(is_linearizable(&events), "{events:#?}");
+    });
+}
+
+#[test]
+fn control_history_with_a_lost_update_is_rejected() {
+    let start = Instant::now();
+    let event = |process: usize, ms: u64, call: RegisterCall| RegisterEvent {
+        process,
+        called: start + std::time::Duration::from_millis(ms),
+        returned: start + std::time::Duration::from_millis(ms + 5),
+        call,
+    };
+    let first = RegisterCall::Apply {
+        base: 1,
+        value: 7,
+        accepted: Some(true),
+    };
+    let second = RegisterCall::Apply {
+        base: 1,
+        value: 8,
+        accepted: Some(true),
+    };
+    let read = |revision: u64, value: u64| RegisterCall::Read { revision, value };
+    assert!(is_linearizable(&[
+        event(0, 0, first.clone()),
+        event(1, 10, read(2, 7))
+    ]));
+    assert!(!is_linearizable(&[
+        event(0, 0, first.clone()),
+        event(1, 10, second)
+    ]));
+    assert!(!is_linearizable(&[
+        event(0, 0, first),
+        event(1, 10, read(1, 0))
+    ]));
+}
--- a/lib/src/placement/domain_planner.rs
+++ b/lib/src/placement/domain_planner.rs
@@ -9,6 +9,7 @@
 use super::PlacementPlanner;
 use super::PlacementRecord;
 use super::PlanInput;
+use super::spare_plan::SparePlan;
 use crate::config::ModelSpec;
 use crate::ids::DomainId;
 use crate::ids::GroupId;
@@ -34,6 +35,14 @@
         draft.drain_unknown_models();
         draft.record
     }
+
+    fn preloads(
+        &self,
+        input: &PlanInput<'_>,
+        planned: &PlacementRecord,
+    ) -> BTreeMap<VmId, ModelId> {
+        SparePlan::new(input, planned).models()
+    }
 }
 
 struct PlanDraft<'a> {
@@ -71,7 +80,8 @@
                 self.record.groups.remove(&name);
                 continue;
             }
-            let spares = self.free_vms(&group.domain.clone());
+            let mut spares = self.free_vms(&group.domain);
+            spares.sort_by_key(|vm| self.input.vms[vm].model != group.model);
             if spares.len() < lost {
                 self.record.groups.remove(&name);
                 continue;
--- a/lib/src/placement/engine_order.rs
+++ b/lib/src/placement/engine_order.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 
 use super::GroupRecord;
+use crate::config::ModelSpec;
 use crate::health::MemberReport;
 use crate::ids::Fence;
 use crate::ids::Generation;
@@ -12,7 +13,9 @@
 use crate::ids::ModelId;
 use crate::ids::VmId;
 
-/// Tells an engine for which group it runs; an empty group unloads it.
+/// Tells an engine for which group it runs and what it loads.
+///
+/// Without a group it only holds the model; without a model it unloads.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineOrder {
     /// VM for which the order is meant.
@@ -52,6 +55,18 @@
         }
     }
 
+    /// Returns the order that makes `vm` hold a model without running for a group.
+    pub fn preload(vm: &VmId, spec: &ModelSpec, fence: Fence) -> Self {
+        Self {
+            vm: vm.clone(),
+            fence,
+            model: spec.model.clone(),
+            version: spec.version.clone(),
+            adapters: spec.adapters.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Returns the order that unloads `vm`.
     pub fn unload(vm: &VmId, fence: Fence) -> Self {
         Self {
--- a/lib/src/placement/mod.rs
+++ b/lib/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod placer_term;
 mod plan_input;
 mod replica_share;
+mod spare_plan;
 mod term_step;
 mod vm_status;
 
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -48,6 +48,7 @@
             incarnation,
             leaving: once_in(u, 12)?,
             ready: !once_in(u, 4)?,
+            model: "m".into(),
         };
         vms.insert(vm.vm.clone(), status);
     }
@@ -133,6 +134,7 @@
         incarnation: 1,
         leaving: false,
         ready: true,
+        model: "m".into(),
     };
     let mut vms: BTreeMap<VmId, VmStatus> = config
         .vms
@@ -362,6 +364,7 @@
                     incarnation: 1,
                     leaving: false,
                     ready: true,
+                    model: "m".into(),
                 },
             )
         })
@@ -393,3 +396,90 @@
     report.generation += 1;
     assert!(!order.is_met_by(&report));
 }
+
+#[test]
+fn spares_hold_the_model_of_their_domain_two_at_a_time() {
+    let config = fleet_config(1, 6, 2, 1);
+    let mut vms: BTreeMap<VmId, VmStatus> = BTreeMap::new();
+    for vm in config.vms.values().filter(|vm| vm.zone == "a") {
+        let status = VmStatus {
+            incarnation: 1,
+            leaving: false,
+            ready: true,
+            model: Default::default(),
+        };
+        vms.insert(vm.vm.clone(), status);
+    }
+    let wanted = BTreeMap::from([("m".into(), 1)]);
+    let drained = BTreeSet::new();
+    let empty = PlacementRecord::empty("a".into());
+    fn input_with<'a>(vms: &'a BTreeMap<VmId, VmStatus>, rest: &PlanInput<'a>) -> PlanInput<'a> {
+        PlanInput {
+            vms,
+            ..rest.clone()
+        }
+    }
+    let nobody = BTreeMap::new();
+    let rest = PlanInput {
+        config: &config,
+        current: &empty,
+        vms: &nobody,
+        wanted: &wanted,
+        drained: &drained,
+    };
+    let record = DomainPlanner.plan(&input_with(&vms, &rest));
+    // The group loads first.
+    assert!(
+        DomainPlanner
+            .preloads(&input_with(&vms, &rest), &record)
+            .is_empty()
+    );
+    for member in &record.groups["a-g0"].members {
+        vms.get_mut(&member.vm).expect("a member").model = "m".into();
+    }
+    for expected in [2, 4, 4] {
+        let preloads = DomainPlanner.preloads(&input_with(&vms, &rest), &record);
+        assert_eq!(preloads.len(), expected);
+        for (vm, model) in preloads {
+            assert!(record.group_of(&vm).is_none());
+            vms.get_mut(&vm).expect("a spare").model = model;
+        }
+    }
+}
+
+#[test]
+fn a_spare_that_holds_the_model_is_taken_first() {
+    let config = fleet_config(1, 4, 2, 1);
+    let mut vms: BTreeMap<VmId, VmStatus> = BTreeMap::new();
+    for vm in config.vms.values().filter(|vm| vm.zone == "a") {
+        let model = if vm.vm == "a0-02" {
+            Default::default()
+        } else {
+            "m".into()
+        };
+        let status = VmStatus {
+            incarnation: 1,
+            leaving: false,
+            ready: true,
+            model,
+        };
+        vms.insert(vm.vm.clone(), status);
+    }
+    let wanted = BTreeMap::from([("m".into(), 1)]);
+    let drained = BTreeSet::new();
+    let empty = PlacementRecord::empty("a".into());
+    let plan = |current: &PlacementRecord, vms: &BTreeMap<VmId, VmStatus>| {
+        let input = PlanInput {
+            config: &config,
+            current,
+            vms,
+            wanted: &wanted,
+            drained: &drained,
+        };
+        DomainPlanner.plan(&input)
+    };
+    let first = plan(&empty, &vms);
+    vms.remove("a0-00");
+    let second = plan(&first, &vms);
+    assert!(second.groups["a-g0"].holds("a0-03"), "{second:?}");
+}
--- a/placer/src/zone_orders.rs
+++ b/placer/src/zone_orders.rs
@@ -1,11 +1,14 @@
 //! Orders that make engines do what the placement record says.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use jujuberoad::config::FleetConfig;
 use jujuberoad::health::MemberReport;
+use jujuberoad::ids::ModelId;
+use jujuberoad::ids::VmId;
 use jujuberoad::placement::EngineOrder;
 use jujuberoad::placement::ORDER_LIMIT_MS;
 use jujuberoad::placement::PlacementRecord;
@@ -25,15 +28,20 @@
     lease: &ZoneLease,
     config: &FleetConfig,
     record: &PlacementRecord,
+    preloads: &BTreeMap<VmId, ModelId>,
     reports: &[MemberReport],
 ) {
     for report in reports {
         let Some(spec) = config.vms.get(&report.vm) else {
             continue;
         };
-        let order = match record.group_of(&report.vm) {
-            Some(group) => EngineOrder::join(&report.vm, group, record.fence),
-            None => EngineOrder::unload(&report.vm, record.fence),
+        let preload = preloads
+            .get(&report.vm)
+            .and_then(|model| config.models.get(model));
+        let order = match (record.group_of(&report.vm), preload) {
+            (Some(group), _) => EngineOrder::join(&report.vm, group, record.fence),
+            (None, Some(model)) => EngineOrder::preload(&report.vm, model, record.fence),
+            (None, None) => EngineOrder::unload(&report.vm, record.fence),
         };
         if order.is_met_by(report) {
             continue;
--- a/placer/src/zone_placer.rs
+++ b/placer/src/zone_placer.rs
@@ -11,6 +11,7 @@
 use jujuberoad::health::EnginePhase;
 use jujuberoad::health::MemberReport;
 use jujuberoad::ids::GroupId;
+use jujuberoad::ids::ModelId;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad::ids::VmId;
 use jujuberoad::ids::ZoneId;
@@ -51,6 +52,7 @@
     term: Option<PlacerTerm>,
     config: Option<KnownConfig>,
     drains: DrainClock,
+    preloads: BTreeMap<VmId, ModelId>,
     heard: BTreeMap<VmId, HeardReport>,
     fold: RouterFold,
     free_since: Option<Instant>,
@@ -79,6 +81,7 @@
             term: None,
             config: None,
             drains: DrainClock::default(),
+            preloads: BTreeMap::new(),
             heard: BTreeMap::new(),
             fold: RouterFold::new(Instant::now()),
             free_since: None,
@@ -117,7 +120,14 @@
         if let (Some(lease), Some(term)) = (&self.lease, &self.term)
             && term.may_order(now)
         {
-            give_orders(&self.core, lease, &config, term.record(), &reports);
+            give_orders(
+                &self.core,
+                lease,
+                &config,
+                term.record(),
+                &self.preloads,
+                &reports,
+            );
         }
         let folded = self.fold.run(&self.core, &self.zone).await;
         folded.map_err(|source| self.store_error("fold", source))
@@ -210,6 +220,7 @@
             drained: &drained,
         };
         let planned = self.core.planner.plan(&input);
+        self.preloads = self.core.planner.preloads(&input, &planned);
         if planned != *term.record() {
             log_changes(&self.zone, term.record(), &planned);
             let write = self
@@ -257,6 +268,7 @@
                 incarnation: report.incarnation,
                 leaving: vm.leaving || is_leaving,
                 ready: is_loaded && is_current,
+                model: report.model.clone(),
             };
             statuses.insert(vm.vm.clone(), status);
         }
