--- a/router/src/token_event.rs
+++ b/router/src/token_event.rs
@@ -4,14 +4,11 @@
 use std::time::Instant;
 
 use eventsource_stream::EventStream;
-use eventsource_stream::EventStreamError;
 use eventsource_stream::Eventsource;
 use futures_lite::FutureExt;
 use futures_lite::StreamExt;
-use futures_lite::future::poll_once;
 use http_body_util::BodyDataStream;
 use http_body_util::BodyExt;
-use jujuberoad_node::http::BodyError;
 use jujuberoad_node::http::ReplyBody;
 use serde::Deserialize;
 use smol::Timer;
@@ -93,25 +90,16 @@
                 timer.set_at(deadline);
             }
         };
-        let read = async { interpret(events.next().await) };
+        let read = async {
+            match events.next().await {
+                None => TokenEvent::Lost("the stream ended before its answer".to_owned()),
+                Some(Err(error)) => TokenEvent::Lost(error.to_string()),
+                Some(Ok(event)) if event.data == DONE_DATA => TokenEvent::Done,
+                Some(Ok(event)) => decode(event.data),
+            }
+        };
         read.or(silence).await
     }
-
-    /// Returns the next event if it is there already.
-    pub(crate) async fn next_ready(&mut self) -> Option<TokenEvent> {
-        poll_once(self.events.next()).await.map(interpret)
-    }
-}
-
-fn interpret(
-    event: Option<Result<eventsource_stream::Event, EventStreamError<BodyError>>>,
-) -> TokenEvent {
-    match event {
-        None => TokenEvent::Lost("the stream ended before its answer".to_owned()),
-        Some(Err(error)) => TokenEvent::Lost(error.to_string()),
-        Some(Ok(event)) if event.data == DONE_DATA => TokenEvent::Done,
-        Some(Ok(event)) => decode(event.data),
-    }
 }
 
 fn decode(data: String) -> TokenEvent {
--- a/router/src/token_stream.rs
+++ b/router/src/token_stream.rs
@@ -29,9 +29,6 @@
 /// never overload what is left after a loss.
 const MAX_RESUMES: u32 = 4;
 
-/// Bytes that are passed on together, by and large.
-const MAX_BATCH_BYTES: usize = 16 << 10;
-
 /// Where a stream goes on after it has been lost.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ResumePoint {
@@ -51,8 +48,7 @@
     text: String,
     reader: TokenReader,
     held: HeldSlot,
-    /// An event that has been read and is still to be dealt with.
-    pending: Option<TokenEvent>,
+    first: Option<TokenEvent>,
     resumes: u32,
     has_ended: bool,
 }
@@ -72,7 +68,7 @@
             text: String::new(),
             reader,
             held,
-            pending: Some(first),
+            first: Some(first),
             resumes: 0,
             has_ended: false,
         };
@@ -84,28 +80,17 @@
     }
 
     /// Returns what the caller gets next; nothing after the end.
-    ///
-    /// Tokens that have arrived together are passed on together.
     async fn next_bytes(&mut self) -> Option<Bytes> {
         if self.has_ended {
             return None;
         }
-        let mut bytes = Vec::new();
-        while bytes.len() < MAX_BATCH_BYTES {
-            let event = match self.pending.take() {
-                Some(event) => event,
-                None if bytes.is_empty() => self.next_event().await,
-                None => match self.reader.next_ready().await {
-                    Some(event) => event,
-                    None => break,
-                },
-            };
-            match event {
-                TokenEvent::Done => {
-                    self.end_whole();
-                    push_event(&mut bytes, DONE_DATA);
-                    break;
-                }
+        let mut event = match self.first.take() {
+            Some(first) => first,
+            None => self.next_event().await,
+        };
+        loop {
+            event = match event {
+                TokenEvent::Done => return Some(self.end_whole()),
                 TokenEvent::Token {
                     request,
                     index,
@@ -114,29 +99,20 @@
                 } => match self.ledger.observe(&request, index) {
                     StreamStep::Forward => {
                         self.text.push_str(&text);
-                        push_event(&mut bytes, &data);
+                        return Some(event_bytes(&data));
                     }
-                    StreamStep::Repeated => {}
+                    StreamStep::Repeated => self.next_event().await,
                     StreamStep::Broken => {
                         let reason = format!("token {index} of {request} is not next");
-                        self.pending = Some(TokenEvent::Lost(reason));
+                        TokenEvent::Lost(reason)
                     }
                 },
-                // What has arrived before is passed on first.
-                TokenEvent::Lost(_) if !bytes.is_empty() => {
-                    self.pending = Some(event);
-                    break;
-                }
                 TokenEvent::Lost(reason) => match self.resume(&reason).await {
-                    Ok(next) => self.pending = Some(next),
-                    Err(problem) => {
-                        bytes = self.end_lost(&problem);
-                        break;
-                    }
+                    Ok(next) => next,
+                    Err(problem) => return Some(self.end_lost(&problem)),
                 },
-            }
+            };
         }
-        Some(bytes.into())
     }
 
     async fn next_event(&mut self) -> TokenEvent {
@@ -174,14 +150,15 @@
         Ok(first)
     }
 
-    fn end_whole(&mut self) {
+    fn end_whole(&mut self) -> Bytes {
         self.has_ended = true;
         let (request, target) = (&self.call.request.id, &self.held.target().target);
         info!("end: request={request} target={target} outcome=answered");
         self.call.core.metrics.count("streams.answered");
+        event_bytes(DONE_DATA)
     }
 
-    fn end_lost(&mut self, problem: &ProblemReply) -> Vec<u8> {
+    fn end_lost(&mut self, problem: &ProblemReply) -> Bytes {
         self.has_ended = true;
         let (request, target) = (&self.call.request.id, &self.held.target().target);
         warn!(
@@ -211,8 +188,10 @@
     }
 }
 
-fn push_event(bytes: &mut Vec<u8>, data: &str) {
+fn event_bytes(data: &str) -> Bytes {
+    let mut bytes = Vec::with_capacity(data.len() + "data: \n\n".len());
     bytes.extend_from_slice(b"data: ");
     bytes.extend_from_slice(data.as_bytes());
     bytes.extend_from_slice(b"\n\n");
+    bytes.into()
 }
