membership: few placers stand by for a zone; a failed watch counts at once

Change: three candidates a zone by hashing, the others look once a minute; configuration and list are read by version; watches of 0.7 s. A router waited 2 s for silence although its watch had failed at once, and placements may be confirmed earlier than the configuration. Change: a watch that fails, or a relay that says so, counts as losing the store at once; votes are asked for each 250 ms.

--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod lab_options;
 mod load;
 mod measure;
+mod measure_control;
 mod measure_path;
 mod up;
 
@@ -12,5 +13,6 @@
 pub use load::load;
 pub use measure::MEASURES;
 pub use measure::measure;
+pub use measure_control::measure_control;
 pub use measure_path::measure_path;
 pub use up::up;
--- a/lab/src/fleet/lab_fleet.rs
+++ b/lab/src/fleet/lab_fleet.rs
@@ -75,6 +75,8 @@
         }
         let store = ConfigStore::at(world.platform);
         let config_folder = folder.join("config");
+        // Files of an earlier fleet in the same folder would be merged with these.
+        let _ = std::fs::remove_dir_all(&config_folder);
         std::fs::create_dir_all(&config_folder).map_err(FleetError::io("creating a folder"))?;
         for (name, text) in &world.files {
             std::fs::write(config_folder.join(name.as_str()), text)
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -35,6 +35,7 @@
     Up(UpArgs),
     Load(LoadArgs),
     Measure(MeasureArgs),
+    MeasureControl(MeasureControlArgs),
     MeasurePath(MeasurePathArgs),
 }
 
@@ -80,6 +81,21 @@
     seed: u64,
 }
 
+/// Measure what routers spend while nobody calls.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure-control")]
+struct MeasureControlArgs {
+    /// folder of configuration files (default: examples/valverde)
+    #[argh(option, default = "PathBuf::from(\"examples/valverde\")")]
+    config: PathBuf,
+    /// folder for settings and logs (default: target/lab-control)
+    #[argh(option, default = "PathBuf::from(\"target/lab-control\")")]
+    dir: PathBuf,
+    /// number of entry VMs (default: 4)
+    #[argh(option, default = "4")]
+    routers: usize,
+}
+
 /// Measure what one router adds to small requests and to streams.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure-path")]
@@ -181,6 +197,15 @@
             print!("{table}");
             Ok(())
         }
+        Command::MeasureControl(control) => {
+            let options = LabOptions {
+                config: control.config,
+                dir: control.dir,
+                routers: control.routers,
+                timing: INSTANT_TIMING,
+            };
+            commands::measure_control(&options).await
+        }
         Command::MeasurePath(path) => {
             let config = PathBuf::from("examples/bench");
             let options = LabOptions {
--- a/lab/src/measure/spread_bench.rs
+++ b/lab/src/measure/spread_bench.rs
@@ -22,7 +22,7 @@
 /// Longest wait before a changed record is read, in seconds.
 const JITTER_S: f64 = 0.5;
 /// Longest time that one watch waits, in seconds.
-const WATCH_S: f64 = 1.0;
+const WATCH_S: f64 = 0.7;
 /// Bytes of the UDP and IP headers of a datagram.
 const DATAGRAM_HEADERS: usize = 28;
 
--- a/lib/src/membership/home_table.rs
+++ b/lib/src/membership/home_table.rs
@@ -33,6 +33,24 @@
         self.best(key, zone, Some(&home.router))
     }
 
+    /// Returns how many routers come before `router` for `key`; nothing when it
+    /// is not on the list.
+    pub fn place_of(&self, router: &str, key: &str, zone: &str) -> Option<usize> {
+        let own = self.list.routers.get(router)?;
+        let rank = |entry: &RouterEntry| {
+            let score = rendezvous_score(&entry.router, key);
+            (entry.zone == zone, score)
+        };
+        let own_rank = rank(own);
+        Some(
+            self.list
+                .routers
+                .values()
+                .filter(|entry| rank(entry) > own_rank)
+                .count(),
+        )
+    }
+
     fn best(&self, key: &str, zone: &str, except: Option<&RouterId>) -> Option<&'a RouterEntry> {
         let mut best = None;
         let mut best_rank = (false, 0);
--- a/lib/src/membership/view_guard.rs
+++ b/lib/src/membership/view_guard.rs
@@ -22,6 +22,7 @@
     held: VersionVector,
     confirmed_until: BTreeMap<ViewKey, Instant>,
     outage_until: Option<Instant>,
+    store_failed_at: Option<Instant>,
 }
 
 impl ViewGuard {
@@ -45,12 +46,20 @@
         }
         if version == self.held.get(key) {
             let until = asked_at + Duration::from_millis(VIEW_VALID_MS);
+            self.store_failed_at = self
+                .store_failed_at
+                .filter(|failed_at| *failed_at >= asked_at);
             let slot = self.confirmed_until.entry(key.clone()).or_insert(until);
             *slot = (*slot).max(until);
         }
         false
     }
 
+    /// Notes that the store, or word of it, was found missing at `now`.
+    pub fn note_store_failure(&mut self, now: Instant) {
+        self.store_failed_at = Some(now);
+    }
+
     /// Notes that most peers agreed until `until` that the store is out.
     pub fn allow_outage(&mut self, until: Instant) {
         self.outage_until = Some(until);
@@ -108,11 +117,13 @@
         oldest.filter(|_| is_complete)
     }
 
-    /// Tells whether the store has been heard from within `span` before `now`.
+    /// Tells whether the store has been heard from within `span` before `now`,
+    /// and not been found missing since.
     pub fn reaches_store(&self, span: Duration, now: Instant) -> bool {
         let valid = Duration::from_millis(VIEW_VALID_MS);
         let until = self.confirmed_until.get(&ViewKey::Config);
-        until.is_some_and(|until| now + valid < *until + span)
+        let is_heard = until.is_some_and(|until| now + valid < *until + span);
+        is_heard && self.store_failed_at.is_none()
     }
 
     /// Tells whether the view rests on an agreed outage of the store.
--- a/lib/tests/test_view_force.rs
+++ b/lib/tests/test_view_force.rs
@@ -49,3 +49,26 @@
 fn control_that_trusts_itself_acts_on_old_records() {
     assert!(!run_all(ViewRule::TrustsItself).behind.is_empty());
 }
+
+#[test]
+fn a_store_that_was_found_missing_counts_as_lost_at_once() {
+    use jujuberoad::membership::ViewGuard;
+    use jujuberoad::membership::ViewKey;
+    use std::time::Duration;
+    use std::time::Instant;
+
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let span = Duration::from_millis(2_000);
+    let mut guard = ViewGuard::default();
+    guard.accept(&ViewKey::Config, 1);
+    guard.confirm(&ViewKey::Config, 1, at(0));
+    assert!(guard.reaches_store(span, at(500)));
+    guard.note_store_failure(at(600));
+    assert!(!guard.reaches_store(span, at(610)));
+    // An answer to an earlier question proves nothing about now.
+    guard.confirm(&ViewKey::Config, 1, at(550));
+    assert!(!guard.reaches_store(span, at(700)));
+    guard.confirm(&ViewKey::Config, 1, at(800));
+    assert!(guard.reaches_store(span, at(900)));
+}
--- a/placer/src/placer_daemon.rs
+++ b/placer/src/placer_daemon.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,8 @@
 use futures_lite::FutureExt;
 use jujuberoad::config::ConfigRecord;
 use jujuberoad::config::FleetConfig;
+use jujuberoad::ids::StoreVersion;
+use jujuberoad::membership::RouterList;
 use jujuberoad::placement::DomainPlanner;
 use jujuberoad_node::backends::HttpEngineControl;
 use jujuberoad_node::backends::HttpPlatformStore;
@@ -19,6 +22,7 @@
 use jujuberoad_node::runtime::MetricSink;
 use jujuberoad_node::runtime::StopSignal;
 use jujuberoad_node::settings::NodeSettings;
+use serde::de::DeserializeOwned;
 use spdlog::info;
 use spdlog::warn;
 
@@ -26,8 +30,10 @@
 use crate::zone_lease::STORE_LIMIT;
 use crate::zone_placer::ZonePlacer;
 
-/// Time between two looks for new availability zones.
-const ZONE_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two looks at the records before there is a configuration.
+const START_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two looks at the records after that.
+const FOLLOW_PERIOD: Duration = Duration::from_secs(10);
 
 /// A step at which a placer could not start.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -65,6 +71,7 @@
             control: Arc::new(HttpEngineControl::new(HttpPool::new())),
             planner: Box::new(DomainPlanner),
             metrics,
+            list: Mutex::default(),
             settings: self.settings,
         });
         info!("start: placer={placer}");
@@ -82,25 +89,49 @@
     }
 }
 
-/// Starts a placer for each availability zone that the configuration names.
+/// Follows the configuration and the list of routers, and starts a placer for
+/// each availability zone that the configuration names.
 async fn place_for_ever(core: Arc<PlacerCore>) {
     let mut started = BTreeSet::new();
+    let (mut config_version, mut list_version) = (0, 0);
     loop {
-        match core.store.get("config", Instant::now() + STORE_LIMIT).await {
-            Ok(Some(stored)) => {
-                let record = serde_json::from_slice::<ConfigRecord>(&stored.bytes);
-                let config = record
-                    .ok()
-                    .and_then(|record| FleetConfig::parse(&record.files).ok());
-                for zone in config.iter().flat_map(|config| config.zones.keys()) {
-                    if started.insert(zone.clone()) {
-                        runtime::spawn(ZonePlacer::new(Arc::clone(&core), zone.clone()).run());
-                    }
+        if let Some(config) = read_new::<ConfigRecord>(&core, "config", &mut config_version).await
+            && let Ok(config) = FleetConfig::parse(&config.files)
+        {
+            for zone in config.zones.keys() {
+                if started.insert(zone.clone()) {
+                    runtime::spawn(ZonePlacer::new(Arc::clone(&core), zone.clone()).run());
                 }
             }
-            Ok(None) => {}
-            Err(problem) => warn!("start: configuration: {problem}"),
         }
-        smol::Timer::after(ZONE_PERIOD).await;
+        if let Some(list) = read_new::<RouterList>(&core, "routers", &mut list_version).await {
+            *core.list.lock().expect("list lock") = list;
+        }
+        let period = if started.is_empty() {
+            START_PERIOD
+        } else {
+            FOLLOW_PERIOD
+        };
+        smol::Timer::after(period).await;
+    }
+}
+
+/// Reads a record if its version is not the known one.
+async fn read_new<T: DeserializeOwned>(
+    core: &PlacerCore,
+    key: &str,
+    version: &mut StoreVersion,
+) -> Option<T> {
+    let deadline = Instant::now() + STORE_LIMIT / 4;
+    match core.store.watch(key, *version, deadline).await {
+        Ok(Some(stored)) => {
+            *version = stored.version;
+            serde_json::from_slice(&stored.bytes).ok()
+        }
+        Ok(None) => None,
+        Err(problem) => {
+            warn!("start: {key}: {problem}");
+            None
+        }
     }
 }
--- a/placer/src/zone_placer.rs
+++ b/placer/src/zone_placer.rs
@@ -44,6 +44,11 @@
 /// Time for which a placer of another zone lets the zone's own placers go first.
 const FOREIGN_DELAY: Duration = Duration::from_millis(2_000);
 
+/// Time between two tries of a candidate to become active.
+const TRY_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two tries of the others, for the case that all candidates fail.
+const BYSTANDER_PERIOD: Duration = Duration::from_secs(60);
+
 /// The placer of one availability zone, active or waiting.
 pub(crate) struct ZonePlacer {
     core: Arc<PlacerCore>,
@@ -56,6 +61,7 @@
     heard: BTreeMap<VmId, HeardReport>,
     fold: RouterFold,
     free_since: Option<Instant>,
+    next_try_at: Instant,
 }
 
 /// The configuration that was read last.
@@ -85,6 +91,7 @@
             heard: BTreeMap::new(),
             fold: RouterFold::new(Instant::now()),
             free_since: None,
+            next_try_at: Instant::now(),
         }
     }
 
@@ -148,6 +155,16 @@
         if is_foreign && now < free_since + FOREIGN_DELAY {
             return Ok(false);
         }
+        if now < self.next_try_at {
+            return Ok(false);
+        }
+        let is_candidate = self.core.is_candidate(&self.zone);
+        self.next_try_at = now
+            + if is_candidate {
+                TRY_PERIOD
+            } else {
+                BYSTANDER_PERIOD
+            };
         self.lease = ZoneLease::acquire(&self.core, &self.zone).await?;
         if self.lease.is_none() {
             self.free_since = None;
--- a/router/src/home_poller.rs
+++ b/router/src/home_poller.rs
@@ -11,12 +11,16 @@
 use spdlog::debug;
 
 use crate::router_core::RouterCore;
+use crate::router_view::RouterView;
 
 /// Time within which an engine must report.
 const REPORT_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time between two looks at which targets are due.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Ticks after which homes are matched with the records even if none has changed.
+const SYNC_TICKS: u64 = 40;
+
 /// Starts to poll.
 pub(crate) fn start(core: Arc<RouterCore>) {
     runtime::spawn(poll_for_ever(core));
@@ -24,11 +28,18 @@
 
 async fn poll_for_ever(core: Arc<RouterCore>) {
     let mut round: u64 = 0;
+    let mut synced: Option<Arc<RouterView>> = None;
     loop {
         let now = Instant::now();
         let view = core.board.view();
-        core.homes.sync(&view, &core.settings.id, now);
         let ticks = REPORT_POLL_MS / TICK.as_millis() as u64;
+        let is_same = synced
+            .as_ref()
+            .is_some_and(|synced| Arc::ptr_eq(synced, &view));
+        if !is_same || round.is_multiple_of(SYNC_TICKS) {
+            core.homes.sync(&view, &core.settings.id, now);
+            synced = Some(Arc::clone(&view));
+        }
         for (index, name) in core.homes.targets().iter().enumerate() {
             let Some(target) = view.table.get(name) else {
                 continue;
--- a/router/src/outage_watch.rs
+++ b/router/src/outage_watch.rs
@@ -18,7 +18,7 @@
 /// Time without word from the store after which it does not count as reached.
 const STORE_SILENCE: Duration = Duration::from_millis(2_000);
 /// Time between two rounds of questions.
-const VOTE_PERIOD: Duration = Duration::from_millis(500);
+const VOTE_PERIOD: Duration = Duration::from_millis(250);
 /// Time within which a peer must answer.
 const VOTE_LIMIT: Duration = Duration::from_millis(400);
 
--- a/router/src/slot_courier.rs
+++ b/router/src/slot_courier.rs
@@ -15,8 +15,10 @@
 use crate::home_desk::stale_refusal;
 use crate::router_core::RouterCore;
 
-/// Longest time between two looks at which requests are due.
-const TICK: Duration = Duration::from_millis(20);
+/// Longest time between two looks at which requests are due, while callers wait.
+const BUSY_TICK: Duration = Duration::from_millis(20);
+/// The same while none waits.
+const IDLE_TICK: Duration = Duration::from_millis(60);
 /// Time within which a home must answer.
 const GRANT_LIMIT: Duration = Duration::from_millis(100);
 
@@ -27,8 +29,13 @@
 
 async fn carry_for_ever(core: Arc<RouterCore>, shortage: Receiver<()>) {
     loop {
+        let period = if core.slots.waiting() > 0 {
+            BUSY_TICK
+        } else {
+            IDLE_TICK
+        };
         let tick = async {
-            smol::Timer::after(TICK).await;
+            smol::Timer::after(period).await;
         };
         let signal = async {
             let _ = shortage.recv().await;
--- a/router/src/view_keeper.rs
+++ b/router/src/view_keeper.rs
@@ -18,7 +18,7 @@
 use crate::router_core::RouterCore;
 
 /// Time for which one watch waits.
-const WATCH_SPAN: Duration = Duration::from_millis(1_200);
+const WATCH_SPAN: Duration = Duration::from_millis(900);
 /// Pause after a watch that failed.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Time between two questions to the relays.
@@ -26,7 +26,7 @@
 /// Time within which a relay must answer.
 const PING_LIMIT: Duration = Duration::from_millis(400);
 /// Silence of the relays after which the store is asked directly.
-const RELAY_PATIENCE: Duration = Duration::from_millis(1_500);
+const RELAY_PATIENCE: Duration = Duration::from_millis(2_100);
 /// Time within which the store must answer a read.
 const READ_LIMIT: Duration = Duration::from_millis(1_000);
 /// Longest wait before a changed record is read, so that not all routers read at once.
@@ -114,6 +114,7 @@
             }
             Err(problem) => {
                 warn!("view: watch of {store_key} failed: {problem}");
+                board.with_guard(|guard| guard.note_store_failure(Instant::now()));
                 smol::Timer::after(WATCH_PAUSE).await;
             }
         }
@@ -175,6 +176,13 @@
                 }
                 !confirmed.is_empty()
             }
+            Some(PeerMessage::PongSame {
+                reaches_store: false,
+                ..
+            }) => {
+                board.with_guard(|guard| guard.note_store_failure(Instant::now()));
+                false
+            }
             _ => false,
         }
     }
