lab: say which routers are missing when a fleet is not ready

The logs of a fleet vanish with its folder. Change: the error shows the last lines of the logs of the missing routers. The cause is not known yet.

--- a/lab/src/fleet/lab_fleet.rs
+++ b/lab/src/fleet/lab_fleet.rs
@@ -28,6 +28,8 @@
 /// Time between two looks at whether they do.
 const READY_TICK: Duration = Duration::from_millis(100);
 
+/// Lines of a log that are shown when a fleet is not ready.
+const LOG_LINES: usize = 12;
 /// First port that is given to routers.
 const FIRST_PORT: u16 = 16_000;
 /// Ports from which one process chooses.
@@ -165,15 +167,31 @@
 
     async fn wait_for_routers(&self, count: usize) -> Result<(), FleetError> {
         let give_up_at = Instant::now() + READY_LIMIT;
-        while self.store.routers().await?.routers.len() < count {
+        loop {
+            let list = self.store.routers().await?;
+            if list.routers.len() >= count {
+                return Ok(());
+            }
             if Instant::now() >= give_up_at {
-                return Err(FleetError::NotReady(
-                    "routers have not joined the list".to_owned(),
-                ));
+                let missing = self
+                    .nodes
+                    .iter()
+                    .filter(|node| !list.routers.contains_key(&node.id));
+                let logs: Vec<String> = missing.map(|node| self.log_end(node)).collect();
+                let detail = format!("routers have not joined the list:\n{}", logs.join("\n"));
+                return Err(FleetError::NotReady(detail));
             }
             smol::Timer::after(READY_TICK).await;
         }
-        Ok(())
+    }
+
+    /// Returns the last lines of the log of an entry VM.
+    fn log_end(&self, node: &NodeAddresses) -> String {
+        let path = self.folder.join(format!("{}.log", node.id));
+        let log = std::fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let end = &lines[lines.len().saturating_sub(LOG_LINES)..];
+        format!("{} at {}:\n{}", node.id, node.http, end.join("\n"))
     }
 }
 
