code: files that had grown large are split, one daemon main

Change: TargetFinder, DeskState, ZoneReader, spec_readers and daemon_main stand on their own; types with others in one file got their own.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -13,6 +13,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::GroupStatus;
+use super::RouterStatus;
 use crate::CommandError;
 use crate::ConfigStore;
 
@@ -30,40 +32,6 @@
     pub groups: Vec<GroupStatus>,
 }
 
-/// State of one router.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct RouterStatus {
-    /// Name of the router.
-    pub router: String,
-    /// Availability zone in which it stands.
-    pub zone: String,
-    /// Revision in force there; nothing when it does not answer.
-    pub revision: Option<Revision>,
-    /// Whether its view is recent enough to take new work.
-    pub is_fresh: bool,
-    #[serde(skip)]
-    homes: Vec<HomeState>,
-}
-
-/// State of one group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct GroupStatus {
-    /// Name of the group.
-    pub group: String,
-    /// Availability zone in which it stands.
-    pub zone: String,
-    /// Model that it serves.
-    pub model: String,
-    /// Generation of the group.
-    pub generation: u64,
-    /// Whether it is active or draining.
-    pub intent: String,
-    /// What its home says: warm, cold, closed, or nothing.
-    pub state: Option<String>,
-    /// Its members by rank.
-    pub members: Vec<String>,
-}
-
 #[derive(Deserialize)]
 struct StatusPage {
     revision: Revision,
@@ -72,7 +40,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-struct HomeState {
+pub(super) struct HomeState {
     target: String,
     state: String,
 }
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -12,6 +12,7 @@
 mod slope_bench;
 mod slot_bench;
 mod spread_bench;
+mod zone_world;
 
 pub use choice_bench::choice_bench;
 pub use fair_bench::fair_bench;
--- a/lab/src/measure/slope_bench.rs
+++ b/lab/src/measure/slope_bench.rs
@@ -1,6 +1,5 @@
 //! Slopes for the capacity page: time and bytes of single decisions by size.
 
-use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,34 +9,26 @@
 use jujuberoad::claims::ClaimKey;
 use jujuberoad::claims::ClaimPage;
 use jujuberoad::claims::PAGE_ENTRIES;
-use jujuberoad::config::FleetConfig;
 use jujuberoad::health::EnginePhase;
 use jujuberoad::health::GateState;
 use jujuberoad::health::MemberReport;
-use jujuberoad::ids::ZoneId;
 use jujuberoad::membership::HomeTable;
 use jujuberoad::outcome::Outcome;
 use jujuberoad::peer::PEER_VERSION;
 use jujuberoad::peer::PeerFrame;
 use jujuberoad::peer::PeerMessage;
-use jujuberoad::placement::DomainPlanner;
-use jujuberoad::placement::PlacementPlanner;
-use jujuberoad::placement::PlacementRecord;
-use jujuberoad::placement::PlanInput;
-use jujuberoad::placement::VmStatus;
 use jujuberoad::routing::ChoiceHint;
 use jujuberoad::routing::PrefixChooser;
-use jujuberoad::routing::RouteTable;
 use jujuberoad::routing::TargetChooser;
 use jujuberoad::routing::TargetLoad;
 use jujuberoad::slots::SlotGrant;
 use jujuberoad::slots::SlotHome;
 use jujuberoad::slots::SlotRequest;
 use jujuberoad::slots::WalletState;
-use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
 use super::spread_bench::router_list;
+use super::zone_world::ZoneWorld;
 
 /// Time for which each operation is repeated.
 const REPEAT: Duration = Duration::from_millis(150);
@@ -132,7 +123,7 @@
 }
 
 /// Repeats `operation` and returns its mean time in microseconds.
-fn time_us(mut operation: impl FnMut()) -> f64 {
+pub(super) fn time_us(mut operation: impl FnMut()) -> f64 {
     let started_at = Instant::now();
     let mut count = 0_u64;
     while started_at.elapsed() < REPEAT {
@@ -208,97 +199,6 @@
     })
 }
 
-/// A fleet of ten zones whose VMs all run.
-struct ZoneWorld {
-    files: BTreeMap<SmolStr, String>,
-    config: FleetConfig,
-    placements: BTreeMap<ZoneId, PlacementRecord>,
-}
-
-impl ZoneWorld {
-    fn new(workers: usize) -> Self {
-        let mut text = String::new();
-        for zone in 0..10 {
-            let _ = writeln!(text, "[zone z{zone}]\nregion = r{}", zone % 3);
-            let _ = writeln!(text, "[domain z{zone}-a]\nzone = z{zone}");
-            for vm in 0..workers / 10 {
-                let _ = writeln!(text, "[vm z{zone}-{vm:03}]\ndomain = z{zone}-a");
-                let _ = writeln!(
-                    text,
-                    "address = 10.{zone}.{}.1:9000\naccelerators = 8",
-                    vm + 1
-                );
-            }
-        }
-        let per_group = (workers / 10).min(8);
-        let _ = writeln!(text, "[model m]\nversion = v\nvms-per-group = {per_group}");
-        let _ = writeln!(
-            text,
-            "groups = {}\nslots = 64\ncold-slots = 2",
-            workers / per_group
-        );
-        let files = BTreeMap::from([("fleet.ini".into(), text)]);
-        let config = FleetConfig::parse(&files).expect("the files are valid");
-        let mut world = Self {
-            files,
-            config,
-            placements: BTreeMap::new(),
-        };
-        for zone in world.config.zones.keys().cloned().collect::<Vec<_>>() {
-            let placement = world.plan(&zone, &PlacementRecord::empty(zone.clone()));
-            world.placements.insert(zone, placement);
-        }
-        world
-    }
-
-    fn plan(&self, zone: &ZoneId, current: &PlacementRecord) -> PlacementRecord {
-        let mut vms = BTreeMap::new();
-        for vm in self.config.vms.values().filter(|vm| vm.zone == *zone) {
-            let status = VmStatus {
-                incarnation: 1,
-                leaving: false,
-                ready: true,
-                model: "m".into(),
-            };
-            vms.insert(vm.vm.clone(), status);
-        }
-        DomainPlanner.plan(&PlanInput {
-            config: &self.config,
-            current,
-            vms: &vms,
-            wanted: &BTreeMap::from([("m".into(), 20)]),
-            drained: &Default::default(),
-        })
-    }
-
-    fn parse_us(&self) -> f64 {
-        time_us(|| {
-            let _ = std::hint::black_box(FleetConfig::parse(&self.files));
-        })
-    }
-
-    fn table_us(&self) -> f64 {
-        time_us(|| {
-            std::hint::black_box(RouteTable::build(&self.config, &self.placements));
-        })
-    }
-
-    fn plan_us(&self) -> f64 {
-        let zone: ZoneId = "z1".into();
-        time_us(|| {
-            std::hint::black_box(self.plan(&zone, &self.placements[&zone]));
-        })
-    }
-
-    fn config_bytes(&self) -> usize {
-        self.files.values().map(String::len).sum()
-    }
-
-    fn placement_bytes(&self) -> usize {
-        serde_json::to_vec(&self.placements["z1"]).map_or(0, |bytes| bytes.len())
-    }
-}
-
 fn frame_bytes(message: PeerMessage) -> usize {
     let sender = "router-region-1-380".into();
     let frame = PeerFrame {
--- a/lab/src/standins/engine_state.rs
+++ b/lab/src/standins/engine_state.rs
@@ -8,24 +8,13 @@
 use jujuberoad::health::MemberReport;
 use jujuberoad::ids::VmId;
 use jujuberoad::placement::EngineOrder;
-use serde::Serialize;
+
+use super::EngineCounts;
+use super::EngineTiming;
 
 /// Prompt prefixes that an engine remembers.
 const PREFIX_CACHE: usize = 64;
 
-/// How long engines take, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EngineTiming {
-    /// To load a model.
-    pub load_ms: u64,
-    /// From loaded to warm.
-    pub warm_ms: u64,
-    /// To the first token of a prompt whose prefix is not cached.
-    pub prefill_ms: u64,
-    /// Between two tokens of a group that serves one request.
-    pub token_ms: u64,
-}
-
 /// State of a VM.
 #[derive(Debug)]
 pub struct EngineState {
@@ -50,21 +39,6 @@
     prefixes: VecDeque<String>,
 }
 
-/// Counters of an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct EngineCounts {
-    /// Requests in progress.
-    pub in_flight: u64,
-    /// Requests begun.
-    pub begun: u64,
-    /// Most requests in progress in cold start.
-    pub cold_peak: u64,
-    /// Requests refused.
-    pub refused: u64,
-    /// Prompts whose prefix was cached.
-    pub prefix_hits: u64,
-}
-
 impl EngineState {
     /// Returns a VM that has just started.
     pub fn new(vm: VmId, checks_fence: bool, timing: EngineTiming) -> Self {
--- a/lab/src/standins/mod.rs
+++ b/lab/src/standins/mod.rs
@@ -1,8 +1,10 @@
 //! Small stand-ins for the platform, the engines and the plain services.
 
 mod admin_handler;
+mod engine_counts;
 mod engine_handler;
 mod engine_state;
+mod engine_timing;
 mod engine_world;
 mod fault_order;
 mod http_text;
@@ -13,9 +15,10 @@
 mod token_text;
 
 pub use admin_handler::AdminHandler;
+pub use engine_counts::EngineCounts;
 pub use engine_handler::EngineHandler;
 pub use engine_state::EngineState;
-pub use engine_state::EngineTiming;
+pub use engine_timing::EngineTiming;
 pub use engine_world::EngineWorld;
 pub use fault_order::FaultKind;
 pub use fault_order::FaultOrder;
--- a/lib/src/config/mod.rs
+++ b/lib/src/config/mod.rs
@@ -15,6 +15,7 @@
 mod model_spec;
 mod section_reader;
 mod service_spec;
+mod spec_readers;
 mod team_spec;
 mod vm_spec;
 mod zone_spec;
--- a/placer/src/lib.rs
+++ b/placer/src/lib.rs
@@ -12,5 +12,6 @@
 mod zone_lease;
 mod zone_orders;
 mod zone_placer;
+mod zone_reader;
 
 pub use placer_daemon::PlacerDaemon;
--- a/placer/src/main.rs
+++ b/placer/src/main.rs
@@ -6,7 +6,6 @@
 use argh::FromArgs;
 use jujube_placer::PlacerDaemon;
 use jujuberoad_node::runtime;
-use jujuberoad_node::settings::NodeSettings;
 
 /// Placement daemon of jujuberoad: forms groups, replaces lost members and
 /// empties what has to leave.
@@ -24,23 +23,5 @@
 
 fn main() -> ExitCode {
     let args: PlacerArgs = argh::from_env();
-    let settings = match NodeSettings::read(&args.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    if let Err(error) = runtime::set_up_log(&settings.log_level) {
-        eprintln!("{error}");
-        return ExitCode::FAILURE;
-    }
-    let threads = settings.threads;
-    match runtime::run(threads, PlacerDaemon::new(settings).run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    runtime::daemon_main(&args.settings, |settings| PlacerDaemon::new(settings).run())
 }
--- a/placer/src/zone_placer.rs
+++ b/placer/src/zone_placer.rs
@@ -5,14 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use jujuberoad::config::ConfigRecord;
 use jujuberoad::config::FleetConfig;
 use jujuberoad::config::VmSpec;
 use jujuberoad::health::EnginePhase;
 use jujuberoad::health::MemberReport;
 use jujuberoad::ids::GroupId;
 use jujuberoad::ids::ModelId;
-use jujuberoad::ids::StoreVersion;
 use jujuberoad::ids::VmId;
 use jujuberoad::ids::ZoneId;
 use jujuberoad::membership::VIEW_VALID_MS;
@@ -27,7 +25,6 @@
 use jujuberoad::placement::VmStatus;
 use jujuberoad::placement::WriteAnswer;
 use jujuberoad_node::backends::VmListing;
-use serde::de::DeserializeOwned;
 use spdlog::info;
 use spdlog::warn;
 
@@ -38,6 +35,7 @@
 use crate::zone_lease::STORE_LIMIT;
 use crate::zone_lease::ZoneLease;
 use crate::zone_orders::give_orders;
+use crate::zone_reader::ZoneReader;
 
 /// Time between two rounds.
 const ROUND_PERIOD: Duration = Duration::from_millis(500);
@@ -55,7 +53,7 @@
     zone: ZoneId,
     lease: Option<ZoneLease>,
     term: Option<PlacerTerm>,
-    config: Option<KnownConfig>,
+    reader: ZoneReader,
     drains: DrainClock,
     preloads: BTreeMap<VmId, ModelId>,
     heard: BTreeMap<VmId, HeardReport>,
@@ -64,13 +62,6 @@
     next_try_at: Instant,
 }
 
-/// The configuration that was read last.
-#[derive(Clone, Debug)]
-struct KnownConfig {
-    version: StoreVersion,
-    config: Arc<FleetConfig>,
-}
-
 #[derive(Clone, Debug)]
 struct HeardReport {
     report: MemberReport,
@@ -80,12 +71,13 @@
 impl ZonePlacer {
     /// Prepares to place the groups of `zone`.
     pub(crate) fn new(core: Arc<PlacerCore>, zone: ZoneId) -> Self {
+        let reader = ZoneReader::new(Arc::clone(&core), zone.clone());
         Self {
             core,
             zone,
+            reader,
             lease: None,
             term: None,
-            config: None,
             drains: DrainClock::default(),
             preloads: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -116,12 +108,12 @@
         if !self.hold_lease().await? {
             return Ok(());
         }
-        let Some(config) = self.read_config().await? else {
+        let Some(config) = self.reader.read_config().await? else {
             return Ok(());
         };
         self.begin_term().await?;
         let reports = self.hear(&config).await;
-        let listings = self.read_listings().await?;
+        let listings = self.reader.read_listings().await?;
         self.place(&config, &listings).await?;
         let now = Instant::now();
         if let (Some(lease), Some(term)) = (&self.lease, &self.term)
@@ -137,7 +129,7 @@
             );
         }
         let folded = self.fold.run(&self.core, &self.zone).await;
-        folded.map_err(|source| self.store_error("fold", source))
+        folded.map_err(|source| self.reader.store_error("fold", source))
     }
 
     async fn hold_lease(&mut self) -> Result<bool, ZoneError> {
@@ -185,7 +177,7 @@
         if self.term.is_some() {
             return Ok(());
         }
-        let found = self.read_record().await?;
+        let found = self.reader.read_record().await?;
         let mut term = PlacerTerm::begin(&self.zone, found, Instant::now());
         let Some(write) = term.raise_fence(fastrand::u64(..)) else {
             return Ok(());
@@ -306,7 +298,7 @@
 
     /// Makes a write; one whose answer was lost is settled by reading back.
     async fn write(&mut self, write: PlacementWrite) -> Result<(), ZoneError> {
-        let key = self.record_key();
+        let key = self.reader.record_key();
         let value = serde_json::to_vec(&write.record).unwrap_or_default().into();
         let deadline = Instant::now() + STORE_LIMIT;
         let put = self
@@ -325,7 +317,7 @@
             .map_or(TermStep::End, |term| term.answered(answer));
         if step == TermStep::ReadBack {
             // A read that fails leaves the write in doubt; the next term settles it.
-            let found = self.read_record().await.unwrap_or_default();
+            let found = self.reader.read_record().await.unwrap_or_default();
             step = self
                 .term
                 .as_mut()
@@ -336,91 +328,13 @@
         }
         self.term = None;
         match put {
-            Err(source) => Err(self.store_error("write", source)),
+            Err(source) => Err(self.reader.store_error("write", source)),
             Ok(_) => Err(ZoneError::Fenced {
                 zone: self.zone.clone(),
                 fence: write.record.fence,
             }),
         }
     }
-
-    async fn read_record(&self) -> Result<Option<(PlacementRecord, StoreVersion)>, ZoneError> {
-        let key = self.record_key();
-        let read = self
-            .core
-            .store
-            .get(&key, Instant::now() + STORE_LIMIT)
-            .await;
-        let stored = read.map_err(|source| self.store_error("read", source))?;
-        let Some(stored) = stored else {
-            return Ok(None);
-        };
-        let record = self.decode(&key, &stored.bytes)?;
-        Ok(Some((record, stored.version)))
-    }
-
-    /// Returns the configuration in force; it is read and checked only when its
-    /// version has changed.
-    async fn read_config(&mut self) -> Result<Option<Arc<FleetConfig>>, ZoneError> {
-        let known = self.config.as_ref().map_or(0, |known| known.version);
-        let read = self
-            .core
-            .store
-            .watch("config", known, Instant::now() + STORE_LIMIT / 4)
-            .await;
-        let stored = read.map_err(|source| self.store_error("config", source))?;
-        let Some(stored) = stored else {
-            return Ok(self.config.as_ref().map(|known| Arc::clone(&known.config)));
-        };
-        let record: ConfigRecord = self.decode("config", &stored.bytes)?;
-        let config = FleetConfig::parse(&record.files).map_err(|problems| ZoneError::Record {
-            zone: self.zone.clone(),
-            key: "config".to_owned(),
-            message: format!("{} problems", problems.len()),
-        })?;
-        let config = Arc::new(config);
-        self.config = Some(KnownConfig {
-            version: stored.version,
-            config: Arc::clone(&config),
-        });
-        Ok(Some(config))
-    }
-
-    async fn read_listings(&self) -> Result<BTreeMap<VmId, VmListing>, ZoneError> {
-        let listed = self.core.directory.list(Instant::now() + STORE_LIMIT).await;
-        let listed = listed.map_err(|source| ZoneError::Directory {
-            zone: self.zone.clone(),
-            source,
-        })?;
-        Ok(listed
-            .into_iter()
-            .map(|listing| (listing.vm.clone(), listing))
-            .collect())
-    }
-
-    fn record_key(&self) -> String {
-        format!("placement/{}", self.zone)
-    }
-
-    fn decode<T: DeserializeOwned>(&self, key: &str, bytes: &[u8]) -> Result<T, ZoneError> {
-        serde_json::from_slice(bytes).map_err(|error| ZoneError::Record {
-            zone: self.zone.clone(),
-            key: key.to_owned(),
-            message: error.to_string(),
-        })
-    }
-
-    fn store_error(
-        &self,
-        step: &'static str,
-        source: jujuberoad_node::backends::StoreError,
-    ) -> ZoneError {
-        ZoneError::Store {
-            zone: self.zone.clone(),
-            step,
-            source,
-        }
-    }
 }
 
 fn log_changes(zone: &ZoneId, before: &PlacementRecord, after: &PlacementRecord) {
--- a/router/src/held_slot.rs
+++ b/router/src/held_slot.rs
@@ -5,7 +5,7 @@
 
 use jujuberoad::routing::RouteTarget;
 
-use crate::slot_desk::SlotChoice;
+use crate::slot_choice::SlotChoice;
 use crate::slot_desk::SlotDesk;
 
 /// Gives its slot back when it is dropped.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -6,7 +6,6 @@
 use argh::FromArgs;
 use jujube_router::RouterDaemon;
 use jujuberoad_node::runtime;
-use jujuberoad_node::settings::NodeSettings;
 
 /// Entry daemon of jujuberoad: admits requests, chooses a whole and healthy
 /// target for each and streams the answers back.
@@ -24,23 +23,5 @@
 
 fn main() -> ExitCode {
     let args: RouterArgs = argh::from_env();
-    let settings = match NodeSettings::read(&args.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    if let Err(error) = runtime::set_up_log(&settings.log_level) {
-        eprintln!("{error}");
-        return ExitCode::FAILURE;
-    }
-    let threads = settings.threads;
-    match runtime::run(threads, RouterDaemon::new(settings).run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    runtime::daemon_main(&args.settings, |settings| RouterDaemon::new(settings).run())
 }
--- a/router/src/slot_desk.rs
+++ b/router/src/slot_desk.rs
@@ -10,8 +10,6 @@
 use jujuberoad::admission::FairQueue;
 use jujuberoad::admission::QueueTicket;
 use jujuberoad::admission::RequestClass;
-use jujuberoad::admission::RetryBudget;
-use jujuberoad::admission::WaitQueue;
 use jujuberoad::ids::Incarnation;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::TargetId;
@@ -20,27 +18,29 @@
 use jujuberoad::routing::ChoiceHint;
 use jujuberoad::routing::RouteTarget;
 use jujuberoad::routing::TargetChooser;
-use jujuberoad::routing::TargetLoad;
 use jujuberoad::slots::SlotGrant;
-use jujuberoad::slots::SlotPermit;
 use jujuberoad::slots::SlotRequest;
 use jujuberoad::slots::SlotWallet;
-use jujuberoad::slots::WalletState;
 use smol::channel;
 use smol::channel::Sender;
 
 use crate::acquire_error::AcquireError;
+use crate::desk_state::DeskState;
+use crate::desk_state::SlotWaiter;
 use crate::held_slot::HeldSlot;
 use crate::router_view::RouterView;
+use crate::slot_ask::SlotAsk;
+use crate::slot_choice::SlotChoice;
 use crate::slot_demand::SlotDemand;
+use crate::target_finder::TargetFinder;
+use crate::target_finder::lowest_servable;
+use crate::target_finder::usable;
 use crate::view_board::ViewBoard;
 
 /// Targets that are asked for slots at a time on behalf of one queue.
 const TARGETS_ASKED: usize = 2;
 /// Most slots that are asked for at a time.
 const MAX_WANTED: u32 = 64;
-/// Part of the slots of a target that requests of the lowest class leave free.
-const URGENT_DIVISOR: u32 = 4;
 /// Targets passed over that are named in the log.
 const MAX_PASSED_OVER: usize = 3;
 /// Time after which callers come back when nothing could serve them.
@@ -49,54 +49,14 @@
 /// Hands slots to requests and keeps the ones that wait.
 pub(crate) struct SlotDesk {
     own: RouterId,
-    zone: ZoneId,
     incarnation: Incarnation,
     board: Arc<ViewBoard>,
+    finder: TargetFinder,
     chooser: Box<dyn TargetChooser>,
     state: Mutex<DeskState>,
     shortage: Sender<()>,
 }
 
-#[derive(Default)]
-struct DeskState {
-    wallets: HashMap<TargetId, SlotWallet>,
-    queues: BTreeMap<SlotDemand, Box<dyn WaitQueue>>,
-    waiters: HashMap<u64, SlotWaiter>,
-    served: HashMap<u64, SlotChoice>,
-    next_id: u64,
-    budget: RetryBudget,
-}
-
-struct SlotWaiter {
-    hint: ChoiceHint,
-    avoid: Option<TargetId>,
-    sender: Sender<()>,
-}
-
-/// A slot that has been found for a request.
-#[derive(Clone, Debug)]
-pub(crate) struct SlotChoice {
-    /// The permit.
-    pub(crate) permit: SlotPermit,
-    /// The target as it is at this moment.
-    pub(crate) target: RouteTarget,
-    /// Better targets on which there was no slot.
-    pub(crate) passed_over: Vec<TargetId>,
-}
-
-/// A request for one slot.
-#[derive(Clone, Debug)]
-pub(crate) struct SlotAsk {
-    /// What the slot is for.
-    pub(crate) demand: SlotDemand,
-    /// Place in the queue; its `id` is given by the desk.
-    pub(crate) ticket: QueueTicket,
-    /// What the choice depends on.
-    pub(crate) hint: ChoiceHint,
-    /// Target that has just failed the request.
-    pub(crate) avoid: Option<TargetId>,
-}
-
 impl SlotDesk {
     /// Opens the desk of router `own`; `shortage` is signalled when slots are
     /// to be asked for.
@@ -109,11 +69,12 @@
         shortage: Sender<()>,
     ) -> Arc<Self> {
         let state = Mutex::default();
+        let finder = TargetFinder::new(zone, Arc::clone(&board));
         Arc::new(Self {
             own,
-            zone,
             incarnation,
             board,
+            finder,
             chooser,
             state,
             shortage,
@@ -215,6 +176,11 @@
         requests
     }
 
+    /// Tells whether the newest records still allow work on `target` as it was.
+    pub(crate) fn is_open(&self, target: &RouteTarget, now: Instant) -> bool {
+        self.finder.is_open(target, now)
+    }
+
     /// Returns how many requests wait.
     pub(crate) fn waiting(&self) -> usize {
         let state = self.state.lock().expect("desk lock");
@@ -231,7 +197,7 @@
         if !self.board.is_fresh(&[ViewKey::Config], now) {
             return Err(AcquireError::StaleView { retry_at });
         }
-        if self.candidates(view, demand, now).is_empty() {
+        if self.finder.candidates(view, demand, now).is_empty() {
             return Err(AcquireError::NoTarget { retry_at });
         }
         Ok(())
@@ -280,7 +246,7 @@
             if queue.is_empty() {
                 continue;
             }
-            let candidates = self.candidates(view, demand, now);
+            let candidates = self.finder.candidates(view, demand, now);
             while let Some(lowest) = lowest_servable(&candidates, wallets, now) {
                 let Some(ticket) = queue.pop(lowest, now) else {
                     break;
@@ -306,7 +272,7 @@
         class: RequestClass,
         now: Instant,
     ) -> Option<SlotChoice> {
-        let loads = self.loads(candidates, wallets, now);
+        let loads = self.finder.loads(candidates, wallets, now);
         let mut order = self.chooser.rank(&loads, &waiter.hint);
         order.sort_by_key(|index| waiter.avoid.as_ref() == Some(&loads[*index].target));
         let mut passed_over = Vec::new();
@@ -343,8 +309,8 @@
             if queue.is_empty() {
                 continue;
             }
-            let candidates = self.candidates(view, demand, now);
-            let loads = self.loads(&candidates, wallets, now);
+            let candidates = self.finder.candidates(view, demand, now);
+            let loads = self.finder.loads(&candidates, wallets, now);
             let count = u32::try_from(queue.len())
                 .unwrap_or(MAX_WANTED)
                 .min(MAX_WANTED);
@@ -370,78 +336,6 @@
     fn wallet(&self, target: &TargetId) -> SlotWallet {
         SlotWallet::new(target.clone(), self.own.clone(), self.incarnation)
     }
-
-    /// Returns the targets that the records allow to be used.
-    fn candidates<'a>(
-        &self,
-        view: &'a RouterView,
-        demand: &SlotDemand,
-        now: Instant,
-    ) -> Vec<&'a RouteTarget> {
-        let mut candidates = Vec::new();
-        for target in view.table.serving(&demand.kind()) {
-            if target.closed.is_some() || !demand.is_met_by(target) {
-                continue;
-            }
-            if self.is_view_fresh(target, now) {
-                candidates.push(target);
-            }
-        }
-        candidates
-    }
-
-    /// Tells whether the newest records still allow work on `target` as it was.
-    pub(crate) fn is_open(&self, target: &RouteTarget, now: Instant) -> bool {
-        let view = self.board.view();
-        let newest = view.table.get(&target.target);
-        let is_same = newest.is_some_and(|newest| {
-            newest.closed.is_none()
-                && newest.generation == target.generation
-                && newest.address == target.address
-        });
-        is_same && self.is_view_fresh(target, now)
-    }
-
-    /// Tells whether the records on which work on `target` rests are recent.
-    fn is_view_fresh(&self, target: &RouteTarget, now: Instant) -> bool {
-        if target.group.is_none() {
-            return self.board.is_fresh(&[ViewKey::Config], now);
-        }
-        let placement = ViewKey::Placement(target.zone.clone());
-        self.board.is_fresh(&[ViewKey::Config, placement], now)
-    }
-
-    fn loads(
-        &self,
-        candidates: &[&RouteTarget],
-        wallets: &HashMap<TargetId, SlotWallet>,
-        now: Instant,
-    ) -> Vec<TargetLoad> {
-        let mut loads = Vec::with_capacity(candidates.len());
-        for target in candidates {
-            let wallet = wallets.get(&target.target);
-            loads.push(TargetLoad {
-                target: target.target.clone(),
-                is_near: target.zone == self.zone,
-                state: wallet.map_or(WalletState::Unknown, |wallet| wallet.state(now)),
-                spare: wallet.map_or(0, |wallet| wallet.spare(target.generation, now)),
-                free: wallet.map_or(0, SlotWallet::free_at_home),
-                in_use: wallet.map_or(0, SlotWallet::in_use),
-                slots: target.slots,
-            });
-        }
-        loads
-    }
-}
-
-impl DeskState {
-    fn turn_away_expired(&mut self, now: Instant) {
-        for queue in self.queues.values_mut() {
-            for ticket in queue.expire(now) {
-                self.waiters.remove(&ticket.id);
-            }
-        }
-    }
 }
 
 /// The wait of one request; leaves nothing behind when it is dropped.
@@ -479,33 +373,3 @@
         }
     }
 }
-
-/// Returns the slots of a wallet that a request of `class` may take.
-fn usable(wallet: &SlotWallet, target: &RouteTarget, class: RequestClass, now: Instant) -> u32 {
-    let spare = wallet.spare(target.generation, now);
-    match class {
-        RequestClass::Counter => spare,
-        RequestClass::Receipt => spare.saturating_sub(wallet.slots() / URGENT_DIVISOR),
-    }
-}
-
-/// Returns the lowest class for which some target has a slot.
-fn lowest_servable(
-    candidates: &[&RouteTarget],
-    wallets: &HashMap<TargetId, SlotWallet>,
-    now: Instant,
-) -> Option<RequestClass> {
-    let mut lowest = None;
-    for target in candidates {
-        let Some(wallet) = wallets.get(&target.target) else {
-            continue;
-        };
-        if usable(wallet, target, RequestClass::Receipt, now) > 0 {
-            return Some(RequestClass::Receipt);
-        }
-        if usable(wallet, target, RequestClass::Counter, now) > 0 {
-            lowest = Some(RequestClass::Counter);
-        }
-    }
-    lowest
-}
--- a/router/src/target_attempt.rs
+++ b/router/src/target_attempt.rs
@@ -19,8 +19,8 @@
 use crate::caller_request::deadline_after;
 use crate::held_slot::HeldSlot;
 use crate::problem_reply::ProblemReply;
+use crate::slot_ask::SlotAsk;
 use crate::slot_demand::SlotDemand;
-use crate::slot_desk::SlotAsk;
 use crate::slot_desk::SlotDesk;
 
 /// Header by which a target says why it refused a request before running it.
