--- a/lab/tests/test_failures.rs
+++ b/lab/tests/test_failures.rs
@@ -340,3 +340,35 @@
         assert!(watches > 0);
     });
 }
+
+#[test]
+fn a_zone_that_goes_dark_takes_no_request_of_others_with_it() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        let load = start_load(streams(fleet, 10, 10_000, 40));
+        smol::Timer::after(Duration::from_millis(2_000)).await;
+        for vm in ["01", "02", "03", "04", "05", "06"] {
+            strike(fleet, FaultKind::Kill, &format!("zone-a-{vm}"), 0).await;
+        }
+        fleet.processes.kill("jujube-router/router-1");
+        fleet.processes.kill("jujube-placer/router-1");
+        let records = load.recv().await.expect("a history");
+        let others: Vec<CallRecord> = records
+            .iter()
+            .filter(|record| record.router != 0)
+            .cloned()
+            .collect();
+        assert!(others.len() > 50);
+        check_words(&others);
+        let unknown = others
+            .iter()
+            .filter(|record| record.outcome == "unknown")
+            .count();
+        assert_eq!(unknown, 0);
+        // The zone's placer is taken over by one of another zone.
+        wait_until("the dark zone has no groups", async || {
+            let status = jujube::status(&fleet.store).await.expect("a status");
+            !status.groups.iter().any(|group| group.zone == "zone-a")
+        })
+        .await;
+    });
+}
