--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod measure;
 mod measure_control;
 mod measure_path;
+mod report;
 mod up;
 
 pub use demo::demo;
@@ -15,4 +16,5 @@
 pub use measure::measure;
 pub use measure_control::measure_control;
 pub use measure_path::measure_path;
+pub use report::report;
 pub use up::up;
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -6,6 +6,7 @@
 mod load_plan;
 mod load_report;
 mod load_runner;
+mod report_page;
 
 pub use call_kind::CallKind;
 pub use call_record::CallRecord;
@@ -13,3 +14,5 @@
 pub use load_plan::LoadPlan;
 pub use load_report::LoadReport;
 pub use load_runner::LoadRunner;
+pub use report_page::PlotError;
+pub use report_page::report_page;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -37,6 +37,7 @@
     Measure(MeasureArgs),
     MeasureControl(MeasureControlArgs),
     MeasurePath(MeasurePathArgs),
+    Report(ReportArgs),
 }
 
 /// Bring up a fleet, send a load, take a zone out and back.
@@ -105,6 +106,18 @@
     dir: PathBuf,
 }
 
+/// Turn a history into one HTML page with plots.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+struct ReportArgs {
+    /// history that `load` or `demo` has written
+    #[argh(positional)]
+    history: PathBuf,
+    /// the page (default: report.html)
+    #[argh(option, default = "PathBuf::from(\"report.html\")")]
+    page: PathBuf,
+}
+
 /// Send a mixed load to routers.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "load")]
@@ -216,6 +229,11 @@
             };
             commands::measure_path(&options).await
         }
+        Command::Report(report) => {
+            let calls = commands::report(&report.history, &report.page)?;
+            println!("{calls} calls in {}", report.page.display());
+            Ok(())
+        }
         Command::Load(load) => {
             let files = jujube::read_folder(&load.config)?;
             let config = FleetConfig::parse(&files).map_err(jujube::CommandError::Invalid)?;
