routing: full targets come last, and liked but unknown ones get asked

Cause: a router asked the two best warm targets for slots, full or not, and never the ones it did not know. Each router lived on two to five of twelve groups. Ruled out: the capacity of what was left (75% used by arithmetic) and the drain.

--- a/lib/src/routing/prefix_chooser.rs
+++ b/lib/src/routing/prefix_chooser.rs
@@ -15,11 +15,13 @@
 /// and chance decide, so that routers do not all run to the same target.
 const LOAD_STEPS: u32 = 4;
 
-/// Prefers warm targets, then those that hold the prefix, then the least loaded.
+/// Prefers targets with room, warm before unknown before cold; among those, the
+/// ones that hold the prefix, then the least loaded.
 ///
 /// All routers find the same targets for a prefix by rendezvous hashing, so no
-/// message about caches is needed. A target that holds the prefix is passed
-/// over when it has no slot free.
+/// message about caches is needed. One that this router does not know yet comes
+/// first all the same, so that it gets known. Full targets come last, so that
+/// slots are asked for where there may be some.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PrefixChooser;
 
@@ -30,17 +32,11 @@
         let mut order: Vec<usize> = (0..loads.len()).collect();
         order.sort_by_cached_key(|index| {
             let load = &loads[*index];
-            let has_room = load.spare > 0 || load.free > 0;
-            let holds_prefix = has_room && gathered.contains(index);
+            let is_gathered = gathered.contains(index);
+            let rank = room_rank(load, is_gathered);
             let chance = rendezvous_score(&load.target, &salt);
             let step = load_step(load);
-            (
-                state_rank(load.state),
-                !holds_prefix,
-                step,
-                !load.is_near,
-                Reverse(chance),
-            )
+            (rank, !is_gathered, step, !load.is_near, Reverse(chance))
         });
         order
     }
@@ -57,12 +53,16 @@
     order
 }
 
-fn state_rank(state: WalletState) -> u8 {
-    match state {
-        WalletState::Warm => 0,
-        WalletState::Unknown => 1,
-        WalletState::Cold => 2,
-        WalletState::Closed => 3,
+fn room_rank(load: &TargetLoad, is_gathered: bool) -> u8 {
+    let has_room = load.spare > 0 || load.free > 0;
+    match (load.state, has_room) {
+        (WalletState::Warm, true) => 0,
+        (WalletState::Unknown, _) if is_gathered => 0,
+        (WalletState::Unknown, _) => 1,
+        (WalletState::Cold, true) => 2,
+        (WalletState::Warm, false) => 3,
+        (WalletState::Cold, false) => 4,
+        (WalletState::Closed, _) => 5,
     }
 }
 
--- a/router/src/desk_state.rs
+++ b/router/src/desk_state.rs
@@ -1,6 +1,7 @@
 //! What a slot desk keeps: wallets, queues and the requests that wait.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Instant;
 
@@ -21,6 +22,8 @@
     pub(crate) queues: BTreeMap<SlotDemand, Box<dyn WaitQueue>>,
     pub(crate) waiters: HashMap<u64, SlotWaiter>,
     pub(crate) served: HashMap<u64, SlotChoice>,
+    /// Targets that a request would have liked and that are not known yet.
+    pub(crate) unknown: BTreeSet<TargetId>,
     pub(crate) next_id: u64,
     pub(crate) budget: RetryBudget,
 }
--- a/router/src/slot_desk.rs
+++ b/router/src/slot_desk.rs
@@ -38,7 +38,9 @@
 use crate::view_board::ViewBoard;
 
 /// Targets that are asked for slots at a time on behalf of one queue.
-const TARGETS_ASKED: usize = 2;
+const TARGETS_ASKED: usize = 4;
+/// Part of a queue for which each of them is asked.
+const QUEUE_DIVISOR: u32 = 2;
 /// Most slots that are asked for at a time.
 const MAX_WANTED: u32 = 64;
 /// Targets passed over that are named in the log.
@@ -240,6 +242,7 @@
             queues,
             waiters,
             served,
+            unknown,
             ..
         } = state;
         for (demand, queue) in queues {
@@ -258,6 +261,12 @@
                 let Some(choice) = self.choose(&candidates, wallets, &waiter, class, now) else {
                     break;
                 };
+                for name in &choice.passed_over {
+                    let state = wallets.get(name).map(|wallet| wallet.state(now));
+                    if state.is_none_or(|state| state.is_unknown()) {
+                        unknown.insert(name.clone());
+                    }
+                }
                 served.insert(ticket.id, choice);
                 let _ = waiter.sender.try_send(());
             }
@@ -302,6 +311,15 @@
         now: Instant,
     ) -> BTreeMap<TargetId, u32> {
         let mut wanted = BTreeMap::new();
+        for name in std::mem::take(&mut state.unknown) {
+            let wallet = state
+                .wallets
+                .entry(name.clone())
+                .or_insert_with(|| self.wallet(&name));
+            if wallet.may_ask(now) && view.table.get(&name).is_some() {
+                wanted.insert(name, 1);
+            }
+        }
         let DeskState {
             wallets, queues, ..
         } = state;
@@ -314,6 +332,7 @@
             let count = u32::try_from(queue.len())
                 .unwrap_or(MAX_WANTED)
                 .min(MAX_WANTED);
+            let count = count.div_ceil(QUEUE_DIVISOR);
             let mut asked = 0;
             for index in self.chooser.rank(&loads, &ChoiceHint::default()) {
                 let name = &candidates[index].target;
