--- a/lab/tests/testutils/mod.rs
+++ b/lab/tests/testutils/mod.rs
@@ -3,6 +3,9 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -34,8 +37,34 @@
 /// Time within which an awaited event must come.
 pub const EVENT_LIMIT: Duration = Duration::from_secs(60);
 
+/// Fleets that may be up at a time, so that they do not starve each other.
+const MAX_FLEETS: usize = 4;
+
+static FLEETS: Mutex<usize> = Mutex::new(0);
+static FLEET_ENDED: Condvar = Condvar::new();
+
+/// A place among the fleets that are up.
+struct FleetPlace;
+
+impl FleetPlace {
+    fn wait() -> Self {
+        let fleets = FLEETS.lock().unwrap_or_else(PoisonError::into_inner);
+        let free = FLEET_ENDED.wait_while(fleets, |fleets| *fleets >= MAX_FLEETS);
+        *free.unwrap_or_else(PoisonError::into_inner) += 1;
+        Self
+    }
+}
+
+impl Drop for FleetPlace {
+    fn drop(&mut self) {
+        *FLEETS.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        FLEET_ENDED.notify_one();
+    }
+}
+
 /// Brings up a small fleet, runs `session` on it and takes it down.
 pub fn with_fleet(routers: usize, session: impl AsyncFnOnce(&mut LabFleet)) {
+    let _place = FleetPlace::wait();
     runtime::run(3, async {
         let folder = tempfile::tempdir().expect("a folder");
         let files = jujube::read_folder(Path::new("../examples/small")).expect("the example");
