--- a/lib/src/slots/mod.rs
+++ b/lib/src/slots/mod.rs
@@ -32,7 +32,5 @@
 /// Time for which a new home grants nothing on a cold target: the old home may
 /// act on its view and its grants may last that long.
 pub const HOME_TAKEOVER_MS: Milliseconds = VIEW_VALID_MS + SLOT_LEASE_MS;
-/// The same on a warm target that has more slots free than the router holds.
-pub const SLOT_RELAXED_RENEW_MS: Milliseconds = 500;
 /// Time after which a router passes its slots on while others have none.
 pub const SLOT_TURN_MS: Milliseconds = 500;
--- a/lib/src/slots/slot_wallet.rs
+++ b/lib/src/slots/slot_wallet.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use super::SLOT_RELAXED_RENEW_MS;
 use super::SLOT_RENEW_MS;
 use super::SlotGrant;
 use super::SlotPermit;
@@ -159,22 +158,16 @@
         let Some(sent_at) = self.sent_at else {
             return false;
         };
-        let pause_ms = self.renewal_pause_ms();
+        let is_idle = self.slots.max(self.home_charge) > self.in_use;
+        let pause_ms = if is_idle && self.free == 0 {
+            SLOT_FULL_PAUSE_MS
+        } else {
+            SLOT_RENEW_MS
+        };
         let is_due = now >= sent_at + Duration::from_millis(pause_ms);
         is_due && (self.in_use > 0 || self.slots > 0 || self.home_charge > 0)
     }
 
-    fn renewal_pause_ms(&self) -> Milliseconds {
-        let held = self.slots.max(self.home_charge);
-        if held > self.in_use && self.free == 0 {
-            return SLOT_FULL_PAUSE_MS;
-        }
-        if self.state.is_warm() && self.free > held {
-            return SLOT_RELAXED_RENEW_MS;
-        }
-        SLOT_RENEW_MS
-    }
-
     /// Tells whether more slots may be asked for: no answer is on its way, and
     /// some time has passed since nothing was granted.
     pub fn may_ask(&self, now: Instant) -> bool {
