router: a stream that is lost late finds a slot like a new request

Cause: the deadline for waiting in the queue counted from the start of the request, so a stream older than 2 s had none left when its engine was lost. The new session 'a_stream_older_than_the_queue_limit...' was red (streams ended as 'unknown' at the kill), green after. Change: each attempt may wait for the whole queue limit, within the deadline of the request.

--- a/lab/src/measure/placement_bench.rs
+++ b/lab/src/measure/placement_bench.rs
@@ -44,7 +44,7 @@
     racks: f64,
 }
 
-/// Rates of the letter for 890 workers, an hour.
+/// Rates of the two-year target for 890 workers, an hour.
 const FAILURES_OF_890: f64 = 11.0 / 24.0;
 const RESTARTS_OF_890: f64 = 340.0 / 24.0;
 const RACKS_OF_890: f64 = 1.0 / (24.0 * 45.0);
--- a/lab/tests/test_failures.rs
+++ b/lab/tests/test_failures.rs
@@ -372,3 +372,16 @@
         .await;
     });
 }
+
+#[test]
+fn a_stream_older_than_the_queue_limit_is_resumed_too() {
+    with_fleet(3, async |fleet: &mut LabFleet| {
+        // Streams of about 5 s; the limit for waiting in the queue is 2 s.
+        let load = start_load(streams(fleet, 8, 1_500, 700));
+        smol::Timer::after(Duration::from_millis(4_000)).await;
+        strike(fleet, FaultKind::Kill, "zone-b-01", 0).await;
+        strike(fleet, FaultKind::Kill, "zone-c-03", 0).await;
+        let records = load.recv().await.expect("a history");
+        assert_eq!(unanswered(&records), Vec::<&CallRecord>::new());
+    });
+}
--- a/router/src/caller_api.rs
+++ b/router/src/caller_api.rs
@@ -127,7 +127,7 @@
             class,
             body,
             deadline: deadline_after(now, config.limits.request_limit_ms),
-            queue_deadline: deadline_after(now, config.limits.queue_limit_ms),
+            queue_limit_ms: config.limits.queue_limit_ms,
         })
     }
 
--- a/router/src/caller_request.rs
+++ b/router/src/caller_request.rs
@@ -11,6 +11,7 @@
 use jujuberoad::admission::RequestClass;
 use jujuberoad::config::FleetConfig;
 use jujuberoad::config::TeamSpec;
+use jujuberoad::ids::Milliseconds;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -40,20 +41,23 @@
     pub(crate) body: Bytes,
     /// Moment by which the answer must be complete.
     pub(crate) deadline: Instant,
-    /// Moment by which a slot must have been found.
-    pub(crate) queue_deadline: Instant,
+    /// Time for which one attempt may wait for a slot.
+    pub(crate) queue_limit_ms: Milliseconds,
 }
 
 impl CallerRequest {
-    /// Returns the ticket with which the request waits for a slot.
-    pub(crate) fn ticket(&self) -> QueueTicket {
+    /// Returns the ticket with which an attempt waits for a slot from `now` on.
+    ///
+    /// Each attempt has the whole time for waiting: a stream that is lost after
+    /// minutes has to find a slot just as a new request does.
+    pub(crate) fn ticket(&self, now: Instant) -> QueueTicket {
         QueueTicket {
             id: 0,
             team: self.team.team.clone(),
             share: self.team.share,
             team_limit: self.team.queue,
             class: self.class,
-            expires_at: self.queue_deadline,
+            expires_at: deadline_after(now, self.queue_limit_ms).min(self.deadline),
         }
     }
 }
--- a/router/src/target_attempt.rs
+++ b/router/src/target_attempt.rs
@@ -61,7 +61,7 @@
     loop {
         let ask = SlotAsk {
             demand: demand.clone(),
-            ticket: request.ticket(),
+            ticket: request.ticket(Instant::now()),
             hint,
             avoid: avoid.cloned(),
         };
