router: a stream that falls silent early is noticed as soon as a late one

Cause: the timer of a stream was set for its first token (3 silences) and only set anew after it had gone off, so silence right after the first token was noticed after 3 s in place of 1 s. Found by reading. Change: the timer is brought forward once.

--- a/router/src/token_event.rs
+++ b/router/src/token_event.rs
@@ -41,9 +41,10 @@
 /// Reads the events of one attempt.
 pub(crate) struct TokenReader {
     events: EventStream<BodyDataStream<ReplyBody>>,
-    /// Goes off no earlier than the newest deadline; setting it for each token
-    /// would cost more than reading the token.
+    /// Goes off no later than the newest deadline, and often before; setting it
+    /// for each token would cost more than reading the token.
     timer: Timer,
+    timer_at: Instant,
 }
 
 #[derive(Deserialize)]
@@ -75,12 +76,21 @@
         Self {
             events: body.into_data_stream().eventsource(),
             timer: Timer::at(deadline),
+            timer_at: deadline,
         }
     }
 
     /// Waits for the next event until `deadline`.
     pub(crate) async fn next(&mut self, deadline: Instant) -> TokenEvent {
-        let Self { events, timer } = self;
+        if deadline < self.timer_at {
+            self.timer.set_at(deadline);
+            self.timer_at = deadline;
+        }
+        let Self {
+            events,
+            timer,
+            timer_at,
+        } = self;
         let silence = async {
             loop {
                 (&mut *timer).await;
@@ -88,6 +98,7 @@
                     return TokenEvent::Lost("no token came in time".to_owned());
                 }
                 timer.set_at(deadline);
+                *timer_at = deadline;
             }
         };
         let read = async {
