tests: one case type for the placement of a zone

Three tests built the same VMs and inputs by hand. Change: ZoneCase builds them; what the tests ask for is the same.

--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -10,6 +10,8 @@
 use arbtest::arbitrary;
 use arbtest::arbitrary::Unstructured;
 use jujuberoad::config::FleetConfig;
+use jujuberoad::ids::GroupId;
+use jujuberoad::ids::ModelId;
 use jujuberoad::ids::VmId;
 use jujuberoad::membership::LeaseTerm;
 use jujuberoad::placement::DomainPlanner;
@@ -127,44 +129,6 @@
     }
 }
 
-#[test]
-fn a_lost_member_is_replaced_from_its_domain() {
-    let config = fleet_config(1, 5, 4, 1);
-    let status = VmStatus {
-        incarnation: 1,
-        leaving: false,
-        ready: true,
-        model: "m".into(),
-    };
-    let mut vms: BTreeMap<VmId, VmStatus> = config
-        .vms
-        .values()
-        .filter(|vm| vm.zone == "a")
-        .map(|vm| (vm.vm.clone(), status.clone()))
-        .collect();
-    let wanted = BTreeMap::from([("m".into(), 1)]);
-    let drained = BTreeSet::new();
-    let empty = PlacementRecord::empty("a".into());
-    let plan = |current: &PlacementRecord, vms: &BTreeMap<VmId, VmStatus>| {
-        let input = PlanInput {
-            config: &config,
-            current,
-            vms,
-            wanted: &wanted,
-            drained: &drained,
-        };
-        DomainPlanner.plan(&input)
-    };
-    let first = plan(&empty, &vms);
-    assert!(first.groups["a-g0"].holds("a0-01"));
-    vms.remove("a0-01");
-    let second = plan(&first, &vms);
-    assert_eq!(second.groups["a-g0"].generation, 2);
-    assert!(second.groups["a-g0"].holds("a0-04"));
-    assert!(!second.groups["a-g0"].holds("a0-01"));
-    assert_eq!(plan(&second, &vms), second);
-}
-
 #[test]
 fn a_zone_that_is_out_gets_no_groups_and_the_others_take_them() {
     let files = testutils::fleet_files::fleet_files(1, 8, 2, 6);
@@ -397,48 +361,84 @@
     assert!(!order.is_met_by(&report));
 }
 
-#[test]
-fn spares_hold_the_model_of_their_domain_two_at_a_time() {
-    let config = fleet_config(1, 6, 2, 1);
-    let mut vms: BTreeMap<VmId, VmStatus> = BTreeMap::new();
-    for vm in config.vms.values().filter(|vm| vm.zone == "a") {
-        let status = VmStatus {
-            incarnation: 1,
-            leaving: false,
-            ready: true,
-            model: Default::default(),
-        };
-        vms.insert(vm.vm.clone(), status);
+/// One zone that should have one group, and what a planner makes of it.
+struct ZoneCase {
+    config: FleetConfig,
+    wanted: BTreeMap<ModelId, u64>,
+    drained: BTreeSet<GroupId>,
+}
+
+impl ZoneCase {
+    fn new(vms: u64, vms_per_group: u64) -> Self {
+        let config = fleet_config(1, vms, vms_per_group, 1);
+        let wanted = BTreeMap::from([("m".into(), 1)]);
+        Self {
+            config,
+            wanted,
+            drained: BTreeSet::new(),
+        }
     }
-    let wanted = BTreeMap::from([("m".into(), 1)]);
-    let drained = BTreeSet::new();
-    let empty = PlacementRecord::empty("a".into());
-    fn input_with<'a>(vms: &'a BTreeMap<VmId, VmStatus>, rest: &PlanInput<'a>) -> PlanInput<'a> {
-        PlanInput {
-            vms,
-            ..rest.clone()
+
+    /// Returns the VMs of the zone, all of which hold `model`.
+    fn vms(&self, model: &str) -> BTreeMap<VmId, VmStatus> {
+        let mut vms = BTreeMap::new();
+        for vm in self.config.vms.values().filter(|vm| vm.zone == "a") {
+            let model = model.into();
+            let status = VmStatus {
+                incarnation: 1,
+                leaving: false,
+                ready: true,
+                model,
+            };
+            vms.insert(vm.vm.clone(), status);
         }
+        vms
     }
-    let nobody = BTreeMap::new();
-    let rest = PlanInput {
-        config: &config,
-        current: &empty,
-        vms: &nobody,
-        wanted: &wanted,
-        drained: &drained,
-    };
-    let record = DomainPlanner.plan(&input_with(&vms, &rest));
+
+    fn plan(
+        &self,
+        current: &PlacementRecord,
+        vms: &BTreeMap<VmId, VmStatus>,
+    ) -> (PlacementRecord, BTreeMap<VmId, ModelId>) {
+        let input = PlanInput {
+            config: &self.config,
+            current,
+            vms,
+            wanted: &self.wanted,
+            drained: &self.drained,
+        };
+        let planned = DomainPlanner.plan(&input);
+        let preloads = DomainPlanner.preloads(&input, &planned);
+        (planned, preloads)
+    }
+}
+
+#[test]
+fn a_lost_member_is_replaced_from_its_domain() {
+    let case = ZoneCase::new(5, 4);
+    let mut vms = case.vms("m");
+    let (first, _) = case.plan(&PlacementRecord::empty("a".into()), &vms);
+    assert!(first.groups["a-g0"].holds("a0-01"));
+    vms.remove("a0-01");
+    let (second, _) = case.plan(&first, &vms);
+    assert_eq!(second.groups["a-g0"].generation, 2);
+    assert!(second.groups["a-g0"].holds("a0-04"));
+    assert!(!second.groups["a-g0"].holds("a0-01"));
+    assert_eq!(case.plan(&second, &vms).0, second);
+}
+
+#[test]
+fn spares_hold_the_model_of_their_domain_two_at_a_time() {
+    let case = ZoneCase::new(6, 2);
+    let mut vms = case.vms("");
+    let (record, preloads) = case.plan(&PlacementRecord::empty("a".into()), &vms);
     // The group loads first.
-    assert!(
-        DomainPlanner
-            .preloads(&input_with(&vms, &rest), &record)
-            .is_empty()
-    );
+    assert!(preloads.is_empty());
     for member in &record.groups["a-g0"].members {
         vms.get_mut(&member.vm).expect("a member").model = "m".into();
     }
     for expected in [2, 4, 4] {
-        let preloads = DomainPlanner.preloads(&input_with(&vms, &rest), &record);
+        let (_, preloads) = case.plan(&record, &vms);
         assert_eq!(preloads.len(), expected);
         for (vm, model) in preloads {
             assert!(record.group_of(&vm).is_none());
@@ -449,37 +449,11 @@
 
 #[test]
 fn a_spare_that_holds_the_model_is_taken_first() {
-    let config = fleet_config(1, 4, 2, 1);
-    let mut vms: BTreeMap<VmId, VmStatus> = BTreeMap::new();
-    for vm in config.vms.values().filter(|vm| vm.zone == "a") {
-        let model = if vm.vm == "a0-02" {
-            Default::default()
-        } else {
-            "m".into()
-        };
-        let status = VmStatus {
-            incarnation: 1,
-            leaving: false,
-            ready: true,
-            model,
-        };
-        vms.insert(vm.vm.clone(), status);
-    }
-    let wanted = BTreeMap::from([("m".into(), 1)]);
-    let drained = BTreeSet::new();
-    let empty = PlacementRecord::empty("a".into());
-    let plan = |current: &PlacementRecord, vms: &BTreeMap<VmId, VmStatus>| {
-        let input = PlanInput {
-            config: &config,
-            current,
-            vms,
-            wanted: &wanted,
-            drained: &drained,
-        };
-        DomainPlanner.plan(&input)
-    };
-    let first = plan(&empty, &vms);
+    let case = ZoneCase::new(4, 2);
+    let mut vms = case.vms("m");
+    vms.get_mut("a0-02").expect("a VM").model = ModelId::default();
+    let (first, _) = case.plan(&PlacementRecord::empty("a".into()), &vms);
     vms.remove("a0-00");
-    let second = plan(&first, &vms);
+    let (second, _) = case.plan(&first, &vms);
     assert!(second.groups["a-g0"].holds("a0-03"), "{second:?}");
 }
