lab: attempts a call while a zone goes dark

'jujube-lab measure-outage' kills all VMs of a zone under a load of streams and counts, by the engines' own word, how often a call was begun.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -36,6 +36,7 @@
     Load(LoadArgs),
     Measure(MeasureArgs),
     MeasureControl(MeasureControlArgs),
+    MeasureOutage(MeasureOutageArgs),
     MeasurePath(MeasurePathArgs),
     Report(ReportArgs),
 }
@@ -97,6 +98,21 @@
     routers: usize,
 }
 
+/// Measure attempts a call while a zone goes dark.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "measure-outage")]
+struct MeasureOutageArgs {
+    /// folder of configuration files (default: examples/valverde)
+    #[argh(option, default = "PathBuf::from(\"examples/valverde\")")]
+    config: PathBuf,
+    /// folder for settings and logs (default: target/lab-outage)
+    #[argh(option, default = "PathBuf::from(\"target/lab-outage\")")]
+    dir: PathBuf,
+    /// calls a second (default: 500)
+    #[argh(option, default = "500")]
+    rate: u64,
+}
+
 /// Measure what one router adds to small requests and to streams.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure-path")]
@@ -219,6 +235,15 @@
             };
             commands::measure_control(&options).await
         }
+        Command::MeasureOutage(outage) => {
+            let options = LabOptions {
+                config: outage.config,
+                dir: outage.dir,
+                routers: 4,
+                timing: TIMING,
+            };
+            commands::measure_outage(&options, outage.rate).await
+        }
         Command::MeasurePath(path) => {
             let config = PathBuf::from("examples/bench");
             let options = LabOptions {
