--- a/lab/src/measure/slope_bench.rs
+++ b/lab/src/measure/slope_bench.rs
@@ -14,8 +14,6 @@
 use jujuberoad::health::MemberReport;
 use jujuberoad::membership::HomeTable;
 use jujuberoad::outcome::Outcome;
-use jujuberoad::peer::PEER_VERSION;
-use jujuberoad::peer::PeerFrame;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad::routing::ChoiceHint;
 use jujuberoad::routing::PrefixChooser;
@@ -27,6 +25,7 @@
 use jujuberoad::slots::WalletState;
 use smol_str::format_smolstr;
 
+use super::spread_bench::frame_bytes;
 use super::spread_bench::router_list;
 use super::zone_world::ZoneWorld;
 
@@ -199,17 +198,6 @@
     })
 }
 
-fn frame_bytes(message: PeerMessage) -> usize {
-    let sender = "router-region-1-380".into();
-    let frame = PeerFrame {
-        version: PEER_VERSION,
-        sender,
-        exchange: u64::MAX,
-        message,
-    };
-    postcard::to_stdvec(&frame).map_or(0, |bytes| bytes.len())
-}
-
 fn slot_bytes() -> usize {
     let grant = SlotGrant {
         target: "region-1-zone-1-g17".into(),
--- a/lab/src/measure/spread_bench.rs
+++ b/lab/src/measure/spread_bench.rs
@@ -96,7 +96,8 @@
     (ping, pong)
 }
 
-fn frame_bytes(message: PeerMessage) -> usize {
+/// Returns the bytes of a datagram that carries `message`, without its headers.
+pub(super) fn frame_bytes(message: PeerMessage) -> usize {
     let sender: RouterId = "router-region-1-380".into();
     let frame = PeerFrame {
         version: PEER_VERSION,
