--- /dev/null
+++ b/gateway/src/caller_request.rs
@@ -0,0 +1,117 @@
+//! A request of a caller, as all parts of the gateway see it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::StatusCode;
+use hyper::Uri;
+use jujuberoad::fleet::PoolKey;
+use jujuberoad::ids::Revision;
+use jujuberoad::ids::TeamId;
+use jujuberoad::serving::RouteSpec;
+use jujuberoad::serving::ServingConfig;
+use jujuberoad_node::backends::CallerHead;
+use smol_str::SmolStr;
+
+use crate::own_answer::OwnAnswer;
+use crate::taken_target::NoTarget;
+use crate::taken_target::TargetNeed;
+
+/// Part of the objective that a request may wait for a slot; the rest is for
+/// reading the prompt.
+const WAIT_SHARE: f64 = 0.5;
+/// Part of the time that is left after which callers still come back.
+const RETURN_SHARE: f64 = 0.3;
+/// Shortest and longest time after which a refused caller is asked back.
+const RETURN_AFTER: (Duration, Duration) =
+    (Duration::from_millis(150), Duration::from_millis(1_500));
+
+/// One request with all that was found out about it at the door.
+pub(crate) struct CallerRequest {
+    pub(crate) id: SmolStr,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) head: CallerHead,
+    pub(crate) route: RouteSpec,
+    pub(crate) team: Option<TeamId>,
+    pub(crate) priority: u32,
+    pub(crate) pool: PoolKey,
+    pub(crate) config_version: Revision,
+    pub(crate) received_at: Instant,
+    /// Moment at which the caller or the operator no longer wants an answer.
+    pub(crate) deadline: Instant,
+}
+
+impl CallerRequest {
+    /// Returns what the request needs to be sent.
+    pub(crate) fn need(&self) -> TargetNeed {
+        let objective = Duration::from_millis(self.route.objective_ms.max(1));
+        let wait = objective.mul_f64(WAIT_SHARE);
+        TargetNeed {
+            pool: self.pool.clone(),
+            priority: self.priority,
+            prompt_tokens: self.head.prompt_tokens,
+            give_up_at: self.deadline.min(self.received_at + wait),
+            tried: Vec::new(),
+            is_resumed: false,
+        }
+    }
+
+    /// Returns how long the request has been here, in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.received_at.elapsed().as_millis() as u64
+    }
+
+    /// Returns when a caller that is refused now should come back: within the
+    /// time for which it still waits, and not all at the same moment.
+    pub(crate) fn return_at(&self) -> Instant {
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
+        let longest = left.mul_f64(RETURN_SHARE).min(RETURN_AFTER.1);
+        let shortest = RETURN_AFTER.0.min(longest);
+        now + shortest + (longest - shortest).mul_f64(fastrand::f64())
+    }
+
+    /// Returns the answer to a request for which no target could be taken.
+    pub(crate) fn refusal(&self, reason: NoTarget) -> OwnAnswer {
+        let pool = &self.pool;
+        let reason = format!("no endpoint of service {:?}: {reason}", pool.service);
+        OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_at(self.return_at())
+    }
+}
+
+/// A request that was refused at the door.
+pub(crate) struct DoorRefusal {
+    pub(crate) answer: OwnAnswer,
+}
+
+/// Finds the route and the team of a request.
+pub(crate) fn admit(
+    config: &ServingConfig,
+    head: &CallerHead,
+    host: &str,
+    path: &str,
+) -> Result<(RouteSpec, Option<TeamId>, u32), DoorRefusal> {
+    let Some(route) = config.find_route(host, path) else {
+        let reason = format!("no route for path {path:?} of host {host:?}");
+        return Err(refuse(StatusCode::NOT_FOUND, reason));
+    };
+    let team = head.key.as_ref().and_then(|key| config.team_of(key));
+    if team.is_none() && config.has_teams && !route.is_public {
+        let reason = format!("route {:?} needs a key that a team holds", route.name);
+        return Err(refuse(StatusCode::UNAUTHORIZED, reason));
+    }
+    let priority = team.and_then(|team| team.priority);
+    let priority = priority.unwrap_or(route.priority);
+    Ok((route.clone(), team.map(|team| team.team.clone()), priority))
+}
+
+fn refuse(status: StatusCode, reason: String) -> DoorRefusal {
+    let answer = OwnAnswer::not_run(status, reason);
+    DoorRefusal { answer }
+}
--- /dev/null
+++ b/gateway/src/endpoint_call.rs
@@ -0,0 +1,82 @@
+//! Sends a request to one endpoint and judges the head of its answer.
+
+use std::time::Instant;
+
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper::header::CONTENT_LENGTH;
+use jujuberoad_node::backends::AnswerHead;
+use jujuberoad_node::backends::CallError;
+use jujuberoad_node::backends::CallStep;
+use jujuberoad_node::backends::EndpointHead;
+use jujuberoad_node::http::PooledBody;
+use jujuberoad_node::http::remove_connection_headers;
+
+use crate::caller_request::CallerRequest;
+use crate::gateway_core::GatewayCore;
+use crate::taken_target::TakenTarget;
+
+/// The head of an answer that belongs to the request.
+pub(crate) struct EndpointAnswer {
+    pub(crate) response: Response<PooledBody>,
+    pub(crate) head: AnswerHead,
+}
+
+/// Sends `request`; the head of the answer must be there by the request's deadline.
+///
+/// An answer that bears another request's id, or a success without a signature,
+/// is an error, and its connection is closed.
+pub(crate) async fn send(
+    core: &GatewayCore,
+    request: &CallerRequest,
+    taken: &TakenTarget,
+    resume_after: Option<u64>,
+) -> Result<EndpointAnswer, CallError> {
+    let address = taken.target.address;
+    let outgoing = build(core, request, taken, resume_after)
+        .map_err(|error| CallError::unsent(CallStep::Send, address, error))?;
+    let sent = core.pool.send(address, outgoing, false, request.deadline);
+    let mut response = sent.await?;
+    let head = core
+        .parts
+        .dialect
+        .read_answer(response.status(), response.headers());
+    if head.request.as_ref().is_some_and(|id| *id != request.id) {
+        let message = format!("answer to another request, {:?}", head.request);
+        return Err(CallError::sent(CallStep::Decode, address, message));
+    }
+    if response.status().is_success() && !head.is_signed {
+        let message = format!("status {} without a signature", response.status());
+        return Err(CallError::sent(CallStep::Decode, address, message));
+    }
+    remove_connection_headers(response.headers_mut());
+    Ok(EndpointAnswer { response, head })
+}
+
+fn build(
+    core: &GatewayCore,
+    request: &CallerRequest,
+    taken: &TakenTarget,
+    resume_after: Option<u64>,
+) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
+    let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let head = EndpointHead {
+        left_ms: left.as_millis() as u64,
+        endpoint: taken.target.endpoint.clone(),
+        team: request.team.clone(),
+        priority: Some(request.priority),
+        resume_after,
+    };
+    let mut headers = request.headers.clone();
+    headers.remove(CONTENT_LENGTH);
+    core.parts.dialect.write_endpoint(&mut headers, &head);
+    let mut outgoing = Request::builder()
+        .method(request.method.clone())
+        .uri(path.parse::<Uri>()?)
+        .body(Full::new(request.body.clone()))?;
+    *outgoing.headers_mut() = headers;
+    Ok(outgoing)
+}
--- /dev/null
+++ b/gateway/src/event_source.rs
@@ -0,0 +1,56 @@
+//! Reads the events of one run of a stream.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use jujuberoad::routing::EventSplitter;
+use jujuberoad::routing::WholeEvent;
+use jujuberoad_node::http::PooledBody;
+
+/// What comes next in a stream.
+pub(crate) enum SourceItem {
+    /// Whole events that arrived together.
+    Events(Vec<WholeEvent>),
+    /// The stream is complete.
+    Ended,
+    /// The stream broke off.
+    Lost(String),
+}
+
+/// The body of an endpoint's answer, cut into events.
+pub(crate) struct EventSource {
+    body: PooledBody,
+    splitter: EventSplitter,
+}
+
+impl EventSource {
+    pub(crate) fn new(body: PooledBody) -> Self {
+        Self {
+            body,
+            splitter: EventSplitter::default(),
+        }
+    }
+
+    /// Waits for the next item; nothing is lost when the wait is given up.
+    pub(crate) async fn next(&mut self) -> SourceItem {
+        loop {
+            let mut events = Vec::new();
+            while let Some(event) = self.splitter.next_event() {
+                events.push(event);
+            }
+            if !events.is_empty() {
+                return SourceItem::Events(events);
+            }
+            match self.body.frame().await {
+                None if self.splitter.is_torn() => {
+                    return SourceItem::Lost("ended within an event".to_owned());
+                }
+                None => return SourceItem::Ended,
+                Some(Err(error)) => return SourceItem::Lost(error.to_string()),
+                Some(Ok(frame)) => {
+                    let bytes: Bytes = frame.into_data().unwrap_or_default();
+                    self.splitter.push(&bytes);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/gateway_core.rs
@@ -0,0 +1,103 @@
+//! What all parts of the gateway share.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::fleet::LoadTable;
+use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::RouterId;
+use jujuberoad_node::http::HttpPool;
+use jujuberoad_node::peer::PeerSocket;
+use jujuberoad_node::runtime::DecisionLog;
+
+use crate::belief_board::BeliefBoard;
+use crate::gateway_parts::GatewayParts;
+use crate::gateway_settings::GatewaySettings;
+use crate::metric_page::MetricPage;
+use crate::session_keeper::Session;
+use crate::slot_queue::SlotQueue;
+use crate::stall_board::StallBoard;
+
+/// Time for which an endpoint that did not answer is given no work, unless the
+/// registry shows a change before; entries of the dead lapse after 3.6 s.
+const LOST_FOR: Duration = Duration::from_millis(4_500);
+
+/// Shared state of one gateway.
+pub(crate) struct GatewayCore {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) parts: GatewayParts,
+    pub(crate) board: BeliefBoard,
+    pub(crate) pool: Arc<HttpPool>,
+    pub(crate) peers: Arc<PeerSocket>,
+    pub(crate) peer_addresses: Mutex<BTreeMap<RouterId, SocketAddr>>,
+    pub(crate) loads: Mutex<LoadTable>,
+    pub(crate) allowance: Mutex<RetryAllowance>,
+    pub(crate) cold_sends: Mutex<HashMap<EndpointId, (Instant, u32)>>,
+    pub(crate) lost: Mutex<HashMap<EndpointId, Instant>>,
+    pub(crate) stalls: StallBoard,
+    pub(crate) queue: SlotQueue,
+    pub(crate) session: Session,
+    pub(crate) log: DecisionLog,
+    pub(crate) metrics: MetricPage,
+    pub(crate) is_stopping: AtomicBool,
+    /// Whether this router gives orders at the moment.
+    pub(crate) is_placer: AtomicBool,
+    /// Whether any request has come since the start.
+    pub(crate) has_traffic: AtomicBool,
+}
+
+impl GatewayCore {
+    /// Returns the number of routers that are known, this one included.
+    pub(crate) fn router_count(&self) -> usize {
+        let peers = self.peer_addresses.lock().expect("peer lock");
+        let others = peers.keys().filter(|id| **id != self.settings.id);
+        1 + others.count()
+    }
+
+    /// Marks an endpoint as one that does not answer.
+    pub(crate) fn mark_lost(&self, endpoint: &EndpointId) {
+        self.mark_lost_for(endpoint, LOST_FOR);
+    }
+
+    /// Marks an endpoint as one that does not answer, for `span`.
+    pub(crate) fn mark_lost_for(&self, endpoint: &EndpointId, span: Duration) {
+        let until = Instant::now() + span;
+        self.lost.lock().expect("lost lock").insert(endpoint.clone(), until);
+    }
+
+    /// Forgets that an endpoint did not answer.
+    pub(crate) fn clear_lost(&self, endpoint: &EndpointId) {
+        self.lost.lock().expect("lost lock").remove(endpoint);
+    }
+
+    /// Returns the endpoints that do not answer.
+    pub(crate) fn lost_endpoints(&self) -> BTreeSet<EndpointId> {
+        let now = Instant::now();
+        let mut lost = self.lost.lock().expect("lost lock");
+        lost.retain(|_, until| now < *until);
+        lost.keys().cloned().collect()
+    }
+
+    /// Takes one retry from the share of this router.
+    pub(crate) fn try_retry(&self) -> bool {
+        // One more than are known: a router that has just been replaced may
+        // have used up its share before.
+        let routers = self.router_count() + 1;
+        let mut allowance = self.allowance.lock().expect("allowance lock");
+        allowance.try_take(routers, Instant::now())
+    }
+
+    /// Tells whether the process is about to end.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/gateway/src/gateway_settings.rs
@@ -0,0 +1,164 @@
+//! Settings of the gateway: one INI file, checked at start.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use jujuberoad::config::ConfigProblem;
+use jujuberoad::config::IniDocument;
+use jujuberoad::config::IniSection;
+use jujuberoad::config::SectionReader;
+use jujuberoad::ids::Milliseconds;
+use jujuberoad::ids::RouterId;
+use jujuberoad::ids::ZoneId;
+use jujuberoad_node::settings::SettingsError;
+use smol_str::SmolStr;
+
+/// Who a gateway is, where it listens and what binds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the process, unique in the fleet.
+    pub id: RouterId,
+    /// Availability zone in which it stands.
+    pub zone: ZoneId,
+    /// Whether the fleet starts for the first time, without any request before.
+    pub is_first_start: bool,
+    /// TCP address for callers.
+    pub callers: SocketAddr,
+    /// TCP address at which the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// TCP address of the metrics page.
+    pub metrics: SocketAddr,
+    /// UDP address for peers.
+    pub peers: SocketAddr,
+    /// TCP address of the platform's store.
+    pub store: SocketAddr,
+    /// Shortest time to live of a lease of the store.
+    pub shortest_lease_ms: Milliseconds,
+    /// Time for an orderly stop.
+    pub grace_ms: Milliseconds,
+    /// Time after which a head that lost a member gives up.
+    pub stall_ms: Milliseconds,
+    /// Window in which retries are counted.
+    pub retry_window_ms: Milliseconds,
+    /// Retries that are allowed for each request of a window.
+    pub retry_ratio: f64,
+    /// Retries that are allowed in each window besides, over all routers.
+    pub retry_fixed: f64,
+}
+
+const SECTIONS: [&str; 4] = ["limits", "listen", "process", "store"];
+
+impl GatewaySettings {
+    /// Reads and checks the file at `path`.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        let file = path.file_name().unwrap_or_default().to_string_lossy();
+        Self::parse(&file, &text).map_err(SettingsError::Invalid)
+    }
+
+    /// Checks `text`; problems name it as `file`.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<ConfigProblem>> {
+        let file = SmolStr::from(file);
+        let files = BTreeMap::from([(file.clone(), text.to_owned())]);
+        let document = IniDocument::merge(&files)?;
+        let mut problems = Vec::new();
+        refuse_unknown(&document, &mut problems);
+        let section = |kind: &str| section_of(&document, &file, kind);
+
+        let process = section("process");
+        let mut reader = SectionReader::new(&process, &mut problems);
+        let id = reader.text("id");
+        let zone = reader.text("zone");
+        let is_first_start = reader.flag("first_start", false);
+        reader.finish();
+
+        let listen = section("listen");
+        let mut reader = SectionReader::new(&listen, &mut problems);
+        let callers = reader.address("callers");
+        let readiness = reader.address("readiness");
+        let metrics = reader.address("metrics");
+        let peers = reader.address("peers");
+        reader.finish();
+
+        let store = section("store");
+        let mut reader = SectionReader::new(&store, &mut problems);
+        let store = reader.address("address");
+        let shortest_lease_ms = reader.span("shortest_lease", 1_000);
+        reader.finish();
+
+        let limits = section("limits");
+        let mut reader = SectionReader::new(&limits, &mut problems);
+        let grace_ms = reader.span("grace", 8_000);
+        let stall_ms = reader.span("stall", 4_000);
+        let retry_window_ms = reader.span("retry_window", 10_000);
+        let retry_ratio = fraction(&mut reader, "retry_ratio", 0.1);
+        let retry_fixed = fraction(&mut reader, "retry_fixed", 20.0);
+        reader.finish();
+
+        if !problems.is_empty() {
+            problems.sort();
+            return Err(problems);
+        }
+        Ok(Self {
+            id,
+            zone,
+            is_first_start,
+            callers,
+            readiness,
+            metrics,
+            peers,
+            store,
+            shortest_lease_ms,
+            grace_ms,
+            stall_ms,
+            retry_window_ms,
+            retry_ratio,
+            retry_fixed,
+        })
+    }
+}
+
+fn section_of(document: &IniDocument, file: &SmolStr, kind: &str) -> IniSection {
+    let found = document.of_kind(kind).next().cloned();
+    found.unwrap_or_else(|| IniSection {
+        kind: kind.into(),
+        name: SmolStr::default(),
+        file: file.clone(),
+        line: 0,
+        entries: BTreeMap::new(),
+    })
+}
+
+fn fraction(reader: &mut SectionReader<'_>, key: &'static str, default: f64) -> f64 {
+    let text = reader.text_or(key, "");
+    if text.is_empty() {
+        return default;
+    }
+    match text.parse::<f64>() {
+        Ok(value) if value.is_finite() && value >= 0.0 => value,
+        _ => {
+            reader.refuse(key, "a number of at least 0, such as 0.2");
+            default
+        }
+    }
+}
+
+fn refuse_unknown(document: &IniDocument, problems: &mut Vec<ConfigProblem>) {
+    for section in document.sections.values() {
+        if SECTIONS.contains(&section.kind.as_str()) && section.name.is_empty() {
+            continue;
+        }
+        let expected = SECTIONS.join(", ");
+        let header = section.header();
+        let message = format!("section {header} is not known; expected one of {expected}");
+        problems.push(ConfigProblem {
+            file: section.file.clone(),
+            line: section.line,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/gateway/src/metric_page.rs
@@ -0,0 +1,151 @@
+//! Counters and histograms of the gateway, as text.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use async_trait::async_trait;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use jujuberoad::serving::RouteSpec;
+use jujuberoad_node::http::HttpHandler;
+use jujuberoad_node::http::ReplyBody;
+use jujuberoad_node::http::full_body;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::gateway_core::GatewayCore;
+
+/// Bounds of the latency histograms, in milliseconds, around the objectives of
+/// 120 to 500 ms.
+const LATENCY_BOUNDS: [f64; 12] = [
+    10.0, 25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 400.0, 500.0, 1_000.0, 2_000.0, 8_000.0,
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    kind: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: String,
+    result: String,
+}
+
+/// All metrics of the process.
+pub(crate) struct MetricPage {
+    registry: Registry,
+    ends: Family<EndLabels, Counter>,
+    calls: Family<CallLabels, Counter>,
+    pub(crate) refusals: Counter,
+    pub(crate) retries: Counter,
+    pub(crate) resumes: Counter,
+    pub(crate) probes: Counter,
+    pub(crate) stalls: Counter,
+    pub(crate) first_event_ms: Histogram,
+    total_ms: Histogram,
+    waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
+    serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
+    registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+}
+
+impl Default for MetricPage {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("jujube");
+        let page = Self {
+            ends: Family::default(),
+            calls: Family::default(),
+            refusals: Counter::<u64, AtomicU64>::default(),
+            retries: Counter::default(),
+            resumes: Counter::default(),
+            probes: Counter::default(),
+            stalls: Counter::default(),
+            first_event_ms: Histogram::new(LATENCY_BOUNDS),
+            total_ms: Histogram::new(LATENCY_BOUNDS),
+            waiting: Gauge::default(),
+            serving_targets: Gauge::default(),
+            registry_age_ms: Gauge::default(),
+            registry: Registry::default(),
+        };
+        registry.register("requests", "Requests by kind and outcome", page.ends.clone());
+        registry.register("calls", "Calls to the platform by kind and result", page.calls.clone());
+        registry.register("door_refusals", "Requests refused at the door", page.refusals.clone());
+        registry.register("retries", "Requests sent once more", page.retries.clone());
+        registry.register("resumes", "Streams resumed elsewhere", page.resumes.clone());
+        registry.register("probes", "Probes of silent groups", page.probes.clone());
+        registry.register("stalls", "Groups confirmed as lost", page.stalls.clone());
+        let first = page.first_event_ms.clone();
+        registry.register("first_event_ms", "Time to the first event", first);
+        registry.register("total_ms", "Time to the end of a request", page.total_ms.clone());
+        registry.register("waiting", "Requests that wait for a slot", page.waiting.clone());
+        let targets = page.serving_targets.clone();
+        registry.register("serving_targets", "Targets that take requests", targets);
+        let age = page.registry_age_ms.clone();
+        registry.register("registry_age_ms", "Time since the registry was confirmed", age);
+        Self { registry, ..page }
+    }
+}
+
+impl MetricPage {
+    /// Counts the end of a request.
+    pub(crate) fn note_end(&self, route: &RouteSpec, outcome: &str, total_ms: u64) {
+        let labels = EndLabels {
+            kind: route.kind.to_string(),
+            outcome: outcome.to_owned(),
+        };
+        self.ends.get_or_create(&labels).inc();
+        self.total_ms.observe(total_ms as f64);
+    }
+
+    /// Counts a call to the platform or to an engine.
+    pub(crate) fn note_call(&self, call: &str, result: &str) {
+        let labels = CallLabels {
+            call: call.to_owned(),
+            result: result.to_owned(),
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+}
+
+/// Serves the page.
+pub(crate) struct MetricsApi {
+    core: Arc<GatewayCore>,
+}
+
+impl MetricsApi {
+    pub(crate) fn new(core: Arc<GatewayCore>) -> Arc<Self> {
+        Arc::new(Self { core })
+    }
+}
+
+#[async_trait]
+impl HttpHandler for MetricsApi {
+    async fn handle(&self, _request: Request<Incoming>) -> Response<ReplyBody> {
+        let metrics = &self.core.metrics;
+        let view = self.core.board.view();
+        metrics.waiting.set(self.core.queue.len() as i64);
+        metrics.serving_targets.set(view.targets.iter().count() as i64);
+        let age = view.registry_seen_at.map(|at| at.elapsed().as_millis() as i64);
+        metrics.registry_age_ms.set(age.unwrap_or(-1));
+        let mut text = String::new();
+        let mut response = match encode(&mut text, &metrics.registry) {
+            Ok(()) => Response::new(full_body(text)),
+            Err(error) => {
+                let mut response = Response::new(full_body(format!("{error}\n")));
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                response
+            }
+        };
+        let kind = hyper::header::HeaderValue::from_static("text/plain; version=1.0.0");
+        response.headers_mut().insert("content-type", kind);
+        response
+    }
+}
--- /dev/null
+++ b/gateway/src/peer_exchange.rs
@@ -0,0 +1,90 @@
+//! What routers tell each other: work under way, and groups that fell silent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::peer::PeerFrame;
+use jujuberoad::peer::PeerMessage;
+use jujuberoad_node::peer::PeerHandler;
+use jujuberoad_node::peer::PeerSocket;
+use jujuberoad_node::runtime;
+use smol::Timer;
+
+use crate::gateway_core::GatewayCore;
+use crate::silence_loop;
+
+/// Pause between two digests with few peers.
+const DIGEST_PACE: Duration = Duration::from_millis(50);
+/// Added to the pause for each peer, so that the messages of a router stay
+/// bounded as the fleet grows.
+const PACE_PER_PEER: Duration = Duration::from_millis(5);
+/// Digests that may be lost before a peer's work is no longer counted.
+const DIGEST_VALID: Duration = Duration::from_millis(600);
+
+/// Takes messages of peers.
+pub(crate) struct PeerDesk {
+    core: Arc<GatewayCore>,
+}
+
+/// Starts to send digests and to take those of peers.
+pub(crate) fn start(core: Arc<GatewayCore>) {
+    let desk = Arc::new(PeerDesk {
+        core: Arc::clone(&core),
+    });
+    runtime::spawn(Arc::clone(&core.peers).run(desk));
+    runtime::spawn(async move {
+        loop {
+            let peers = core.router_count() as u32;
+            Timer::after(DIGEST_PACE + PACE_PER_PEER * peers).await;
+            let loads = {
+                let mut loads = core.loads.lock().expect("load lock");
+                loads.expire(Instant::now());
+                let own = loads.own();
+                own.map(|(endpoint, load)| (endpoint.clone(), *load)).collect()
+            };
+            tell_all(&core, PeerMessage::Loads { loads }).await;
+        }
+    });
+}
+
+/// Sends a message to all peers.
+pub(crate) async fn tell_all(core: &GatewayCore, message: PeerMessage) {
+    let peers: Vec<SocketAddr> = {
+        let addresses = core.peer_addresses.lock().expect("peer lock");
+        let others = addresses.iter().filter(|(id, _)| **id != core.settings.id);
+        others.map(|(_, address)| *address).collect()
+    };
+    for peer in peers {
+        core.peers.tell(peer, message.clone()).await;
+    }
+}
+
+impl PeerHandler for PeerDesk {
+    fn question(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, _from: SocketAddr) {
+        match frame.message {
+            PeerMessage::Loads { loads } => {
+                let valid_until = Instant::now() + DIGEST_VALID;
+                let mut table = self.core.loads.lock().expect("load lock");
+                table.observe_peer(frame.sender, loads, valid_until);
+            }
+            PeerMessage::Silent { endpoint, .. } => {
+                let target = self.core.stalls.hurry_probe(&endpoint).or_else(|| {
+                    let view = self.core.board.view();
+                    let mut targets = view.targets.iter();
+                    let is_known = targets.find(|target| target.endpoint == endpoint).cloned();
+                    is_known.filter(|_| !self.core.stalls.has_streams(&endpoint))
+                });
+                let Some(target) = target else {
+                    return;
+                };
+                let core = Arc::clone(&self.core);
+                runtime::spawn(async move {
+                    silence_loop::examine(&core, target, "told by a peer").await;
+                });
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/placer_loop.rs
@@ -0,0 +1,121 @@
+//! Plans groups and gives orders while this router holds the placer's lock.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::fleet::OrderAnswer;
+use jujuberoad::fleet::PlannedOrder;
+use jujuberoad::fleet::PlannerInput;
+use jujuberoad::fleet::ReplicaPlanner;
+use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::Fence;
+use jujuberoad_node::runtime;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
+use smol::Timer;
+
+use crate::gateway_core::GatewayCore;
+
+/// Pause between two planning rounds.
+const PLAN_PACE: Duration = Duration::from_millis(40);
+/// Time for an order; engines answer within milliseconds.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
+
+/// The planner of the current term.
+type SharedPlanner = Arc<Mutex<ReplicaPlanner>>;
+
+/// Plans for ever.
+pub(crate) fn start(core: Arc<GatewayCore>) {
+    runtime::spawn(async move {
+        let mut term: Option<(Fence, SharedPlanner)> = None;
+        loop {
+            Timer::after(PLAN_PACE).await;
+            let right = core.session.placer_right();
+            core.is_placer.store(right.is_some(), Ordering::Relaxed);
+            let Some(right) = right else {
+                if let Some((fence, _)) = term.take() {
+                    core.log.write(LogKind::Lease, json!({"placer": false, "fence": fence}));
+                }
+                continue;
+            };
+            let is_same = term.as_ref().is_some_and(|(fence, _)| *fence == right.fence);
+            if !is_same {
+                let planner = ReplicaPlanner::new(right.fence, core.settings.stall_ms);
+                term = Some((right.fence, Arc::new(Mutex::new(planner))));
+            }
+            let Some((fence, planner)) = &term else {
+                continue;
+            };
+            plan_once(&core, *fence, planner);
+        }
+    });
+}
+
+fn plan_once(core: &Arc<GatewayCore>, fence: Fence, planner: &SharedPlanner) {
+    let view = core.board.view();
+    let Some(config) = &view.config else {
+        return;
+    };
+    if view.registry_seen_at.is_none() {
+        return;
+    }
+    let lost: BTreeSet<EndpointId> = core.lost_endpoints();
+    let table = core.board.table();
+    let has_traffic =
+        !core.settings.is_first_start || core.has_traffic.load(Ordering::Relaxed);
+    let input = PlannerInput {
+        table: &table,
+        groups: &view.groups,
+        config,
+        lost: &lost,
+        has_traffic,
+        now: Instant::now(),
+    };
+    let orders = planner.lock().expect("planner lock").plan(&input);
+    for order in orders {
+        let core = Arc::clone(core);
+        let planner = Arc::clone(planner);
+        runtime::spawn(async move { give_order(&core, fence, &planner, order).await });
+    }
+}
+
+async fn give_order(
+    core: &GatewayCore,
+    fence: Fence,
+    planner: &SharedPlanner,
+    order: PlannedOrder,
+) {
+    let is_valid = core.session.placer_right().is_some_and(|right| right.fence == fence);
+    if !is_valid {
+        return;
+    }
+    let deadline = Instant::now() + ORDER_LIMIT;
+    let (answer, detail) = match core.parts.control.order(&order, fence, deadline).await {
+        Ok(answer) => (answer, None),
+        Err(error) => (OrderAnswer::Unanswered, Some(error.to_string())),
+    };
+    core.metrics.note_call(order.order.name(), &answer.to_string());
+    if answer == OrderAnswer::Fenced {
+        core.session.end_term(fence);
+    }
+    planner
+        .lock()
+        .expect("planner lock")
+        .observe_answer(&order, answer, Instant::now());
+    core.log.write(
+        LogKind::Order,
+        json!({
+            "order": order.order.name(),
+            "what": format!("{:?}", order.order),
+            "endpoint": order.endpoint,
+            "because": order.reason,
+            "fence": fence,
+            "answer": answer.to_string(),
+            "detail": detail,
+        }),
+    );
+}
--- /dev/null
+++ b/gateway/src/session_keeper.rs
@@ -0,0 +1,286 @@
+//! The lease of this process, its entry among the routers, and the placer's lock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use jujuberoad::ids::Fence;
+use jujuberoad::ids::Milliseconds;
+use jujuberoad::ids::RouterId;
+use jujuberoad::ids::StoreVersion;
+use jujuberoad_node::backends::LeaseId;
+use jujuberoad_node::backends::StoreChange;
+use jujuberoad_node::backends::StoreError;
+use jujuberoad_node::backends::StoreEvent;
+use jujuberoad_node::backends::StoredItem;
+use jujuberoad_node::backends::StoredRange;
+use jujuberoad_node::runtime;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
+use smol::Timer;
+
+use crate::boot_clock::BootInstant;
+use crate::gateway_core::GatewayCore;
+use crate::store_watch::PrefixSink;
+
+/// Prefix of all keys of the product.
+const OWN_PREFIX: &str = "jujuberoad/";
+/// Prefix of the routers' entries.
+const ROUTER_PREFIX: &str = "jujuberoad/routers/";
+/// Key of the placer's lock.
+const PLACER_KEY: &str = "jujuberoad/placer";
+/// Time to live of a lease: a standby takes over this long after a kill.
+const LEASE_MS: Milliseconds = 2_000;
+/// Pause between renewals; three fit in a lease.
+const RENEW_PACE: Duration = Duration::from_millis(600);
+/// Time for one call to the store.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+
+/// The right to give orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PlacerRight {
+    pub(crate) fence: Fence,
+}
+
+/// What is known of leases and of the placer's lock.
+#[derive(Default)]
+pub(crate) struct SessionState {
+    lease: Option<LeaseId>,
+    valid_until: Option<BootInstant>,
+    lock_version: Option<StoreVersion>,
+    /// Holder and version of the lock, as the store last showed it.
+    lock: Option<(String, StoreVersion)>,
+    has_entry: bool,
+    has_read: bool,
+    /// A fence that an engine refused; it is never used again.
+    refused: Option<Fence>,
+}
+
+/// Shared by the keeper and those who need its right.
+#[derive(Default)]
+pub(crate) struct Session {
+    state: Mutex<SessionState>,
+}
+
+impl Session {
+    /// Returns the right to give orders, while the lease certainly holds.
+    pub(crate) fn placer_right(&self) -> Option<PlacerRight> {
+        let state = self.state.lock().expect("session lock");
+        let fence = state.lock_version?;
+        let is_valid = state.valid_until.is_some_and(|until| BootInstant::now() < until);
+        let is_refused = state.refused.is_some_and(|refused| refused >= fence);
+        (is_valid && !is_refused).then_some(PlacerRight { fence })
+    }
+
+    /// Ends the term of a fence that an engine has refused.
+    pub(crate) fn end_term(&self, fence: Fence) {
+        let mut state = self.state.lock().expect("session lock");
+        state.refused = Some(fence);
+    }
+}
+
+/// Opens and renews the lease for ever, and takes the lock when it is free.
+pub(crate) fn start(core: Arc<GatewayCore>) {
+    runtime::spawn(async move {
+        loop {
+            if core.is_stopping() {
+                return;
+            }
+            let result = keep_once(&core).await;
+            if let Err(error) = &result {
+                core.metrics.note_call("lease", "failed");
+                note_failure(&core, error);
+            }
+            Timer::after(RENEW_PACE).await;
+        }
+    });
+}
+
+/// Gives the lease back, so that a standby takes over at once.
+pub(crate) async fn end(core: &GatewayCore) {
+    let lease = {
+        let mut state = core.session.state.lock().expect("session lock");
+        state.lock_version = None;
+        state.lease.take()
+    };
+    let Some(lease) = lease else {
+        return;
+    };
+    let ended = core.parts.store.end_lease(lease, Instant::now() + CALL_LIMIT);
+    if let Err(error) = ended.await {
+        let reason = error.to_string();
+        core.log.write(LogKind::Lease, json!({"lease": lease, "state": "not ended", "reason": reason}));
+    }
+}
+
+async fn keep_once(core: &GatewayCore) -> Result<(), StoreError> {
+    let deadline = Instant::now() + CALL_LIMIT;
+    let asked_at = BootInstant::now();
+    let ttl_ms = LEASE_MS.max(core.settings.shortest_lease_ms);
+    let known = core.session.state.lock().expect("session lock").lease;
+    let lease = match known {
+        Some(lease) => {
+            core.parts.store.renew_lease(lease, deadline).await?;
+            lease
+        }
+        None => core.parts.store.open_lease(ttl_ms, deadline).await?,
+    };
+    core.metrics.note_call("lease", "ok");
+    {
+        let mut state = core.session.state.lock().expect("session lock");
+        state.lease = Some(lease);
+        // Counted from before the call, so it never outlasts the store's count.
+        state.valid_until = Some(asked_at.after(Duration::from_millis(ttl_ms)));
+    }
+    write_entry(core, lease).await?;
+    take_lock(core, lease).await
+}
+
+async fn write_entry(core: &GatewayCore, lease: LeaseId) -> Result<(), StoreError> {
+    if core.session.state.lock().expect("session lock").has_entry {
+        return Ok(());
+    }
+    let key = format!("{ROUTER_PREFIX}{}", core.settings.id);
+    let value = Bytes::from(core.settings.peers.to_string());
+    let change = StoreChange {
+        writes: vec![(key, value, Some(lease))],
+        ..StoreChange::default()
+    };
+    let deadline = Instant::now() + CALL_LIMIT;
+    core.parts.store.transact(change, deadline).await?;
+    core.session.state.lock().expect("session lock").has_entry = true;
+    Ok(())
+}
+
+/// Takes the placer's lock if it is free.
+pub(crate) async fn take_lock(core: &GatewayCore, lease: LeaseId) -> Result<(), StoreError> {
+    {
+        let state = core.session.state.lock().expect("session lock");
+        if state.lock_version.is_some() || state.lock.is_some() || !state.has_read {
+            return Ok(());
+        }
+    }
+    let change = StoreChange {
+        conditions: vec![(PLACER_KEY.to_owned(), 0)],
+        writes: vec![(
+            PLACER_KEY.to_owned(),
+            Bytes::from(core.settings.id.to_string()),
+            Some(lease),
+        )],
+        deletions: Vec::new(),
+    };
+    let deadline = Instant::now() + CALL_LIMIT;
+    match core.parts.store.transact(change, deadline).await {
+        Ok(version) => {
+            core.session.state.lock().expect("session lock").lock_version = Some(version);
+            core.log.write(LogKind::Lease, json!({"placer": true, "fence": version}));
+            Ok(())
+        }
+        // Somebody else was faster; the watch will show who.
+        Err(StoreError::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
+fn note_failure(core: &GatewayCore, error: &StoreError) {
+    let mut state = core.session.state.lock().expect("session lock");
+    let had_right = state.lock_version.is_some();
+    if let StoreError::LeaseLapsed(_) = error {
+        state.lease = None;
+        state.valid_until = None;
+        state.lock_version = None;
+        state.has_entry = false;
+    }
+    drop(state);
+    core.log.write(
+        LogKind::Lease,
+        json!({"state": "failed", "reason": error.to_string(), "placer": had_right}),
+    );
+}
+
+/// Follows the product's own keys: the routers and the placer's lock.
+pub(crate) struct OwnSink;
+
+impl OwnSink {
+    fn take(&self, core: &GatewayCore, item: &StoredItem) {
+        let text = String::from_utf8_lossy(&item.value).into_owned();
+        if item.key == PLACER_KEY {
+            let mut state = core.session.state.lock().expect("session lock");
+            // A write whose answer was lost shows here.
+            if text == core.settings.id && state.lease.is_some() && state.lock_version.is_none() {
+                state.lock_version = Some(item.version);
+            }
+            state.lock = Some((text, item.version));
+            return;
+        }
+        let Some(id) = item.key.strip_prefix(ROUTER_PREFIX) else {
+            return;
+        };
+        match text.parse::<SocketAddr>() {
+            Ok(address) => {
+                let mut peers = core.peer_addresses.lock().expect("peer lock");
+                peers.insert(RouterId::from(id), address);
+            }
+            Err(error) => core.log.write(
+                LogKind::Damaged,
+                json!({"what": item.key, "reason": error.to_string()}),
+            ),
+        }
+    }
+
+    fn forget(&self, core: &GatewayCore, key: &str) {
+        if key == PLACER_KEY {
+            let mut state = core.session.state.lock().expect("session lock");
+            state.lock = None;
+            state.lock_version = None;
+        }
+        if let Some(id) = key.strip_prefix(ROUTER_PREFIX) {
+            core.peer_addresses.lock().expect("peer lock").remove(id);
+            if id == core.settings.id {
+                core.session.state.lock().expect("session lock").has_entry = false;
+            }
+        }
+    }
+}
+
+impl PrefixSink for OwnSink {
+    fn prefix(&self) -> String {
+        OWN_PREFIX.to_owned()
+    }
+
+    fn replace(&self, core: &GatewayCore, range: StoredRange, _after_outage: bool) {
+        let keys: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
+        let known: BTreeMap<RouterId, SocketAddr> =
+            core.peer_addresses.lock().expect("peer lock").clone();
+        for id in known.keys() {
+            let key = format!("{ROUTER_PREFIX}{id}");
+            if !keys.contains(&key.as_str()) {
+                self.forget(core, &key);
+            }
+        }
+        if !keys.contains(&PLACER_KEY) {
+            self.forget(core, PLACER_KEY);
+        }
+        for item in &range.items {
+            self.take(core, item);
+        }
+        core.session.state.lock().expect("session lock").has_read = true;
+    }
+
+    fn apply(&self, core: &GatewayCore, events: Vec<StoreEvent>, _as_of: StoreVersion) {
+        for event in events {
+            match event {
+                StoreEvent::Written(item) => self.take(core, &item),
+                StoreEvent::Deleted { key, .. } => self.forget(core, &key),
+            }
+        }
+    }
+
+    fn pace(&self, _core: &GatewayCore) -> Duration {
+        Duration::ZERO
+    }
+}
--- /dev/null
+++ b/gateway/src/slot_queue.rs
@@ -0,0 +1,117 @@
+//! Requests that wait for a slot.
+
+use std::sync::Mutex;
+
+use jujuberoad::fleet::PoolKey;
+use smol::channel;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+
+/// Waiting requests, the most urgent and then the oldest first.
+#[derive(Default)]
+pub(crate) struct SlotQueue {
+    state: Mutex<QueueState>,
+}
+
+#[derive(Default)]
+struct QueueState {
+    next: u64,
+    waiters: Vec<SlotWaiter>,
+}
+
+struct SlotWaiter {
+    number: u64,
+    priority: u32,
+    pool: PoolKey,
+    sender: Sender<()>,
+}
+
+/// A place in the queue; it is left when this is dropped.
+pub(crate) struct QueuePlace<'a> {
+    queue: &'a SlotQueue,
+    number: u64,
+    pub(crate) wakeups: Receiver<()>,
+}
+
+impl SlotQueue {
+    /// Joins the queue of a pool.
+    pub(crate) fn join(&self, pool: PoolKey, priority: u32) -> QueuePlace<'_> {
+        let (sender, wakeups) = channel::bounded(1);
+        let mut state = self.state.lock().expect("queue lock");
+        let number = state.next;
+        state.next += 1;
+        let waiter = SlotWaiter {
+            number,
+            priority,
+            pool,
+            sender,
+        };
+        let key = (priority, number);
+        let place = state
+            .waiters
+            .partition_point(|other| (other.priority, other.number) < key);
+        state.waiters.insert(place, waiter);
+        QueuePlace {
+            queue: self,
+            number,
+            wakeups,
+        }
+    }
+
+    /// Returns the number of requests that wait for a pool and go first at `priority`.
+    pub(crate) fn ahead(&self, pool: &PoolKey, priority: u32) -> usize {
+        let state = self.state.lock().expect("queue lock");
+        let waiters = state.waiters.iter();
+        waiters
+            .filter(|waiter| waiter.pool == *pool && waiter.priority <= priority)
+            .count()
+    }
+
+    /// Returns the number of all waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.state.lock().expect("queue lock").waiters.len()
+    }
+
+    /// Lets the first request of each pool look again.
+    pub(crate) fn wake_first(&self) {
+        let state = self.state.lock().expect("queue lock");
+        let mut seen: Vec<&PoolKey> = Vec::new();
+        for waiter in &state.waiters {
+            if seen.contains(&&waiter.pool) {
+                continue;
+            }
+            seen.push(&waiter.pool);
+            // A full channel means that it has been woken already.
+            let _ = waiter.sender.try_send(());
+        }
+    }
+
+    /// Lets all requests look again.
+    pub(crate) fn wake_all(&self) {
+        let state = self.state.lock().expect("queue lock");
+        for waiter in &state.waiters {
+            let _ = waiter.sender.try_send(());
+        }
+    }
+}
+
+impl QueuePlace<'_> {
+    /// Tells whether no other request for the same pool goes first.
+    pub(crate) fn is_first(&self) -> bool {
+        let state = self.queue.state.lock().expect("queue lock");
+        let Some(own) = state.waiters.iter().find(|w| w.number == self.number) else {
+            return false;
+        };
+        let first = state.waiters.iter().find(|waiter| waiter.pool == own.pool);
+        first.is_some_and(|first| first.number == self.number)
+    }
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        let mut state = self.queue.state.lock().expect("queue lock");
+        state.waiters.retain(|waiter| waiter.number != self.number);
+        drop(state);
+        self.queue.wake_first();
+    }
+}
--- /dev/null
+++ b/gateway/src/stall_board.rs
@@ -0,0 +1,181 @@
+//! Streams under way by head, and the heads that have fallen silent.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::fleet::ServingTarget;
+use jujuberoad::fleet::StallWatch;
+use jujuberoad::ids::EndpointId;
+use smol::channel;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+
+/// Wait for a first event after which a head is probed; below the shortest
+/// objective of 300 ms, above the usual wait of 100 ms.
+const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(220);
+/// Pause between two probes of the same head.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Number of a stream.
+pub(crate) type StreamNumber = u64;
+
+/// Watches all heads to which this router has streams.
+#[derive(Default)]
+pub(crate) struct StallBoard {
+    state: Mutex<BoardState>,
+}
+
+#[derive(Default)]
+struct BoardState {
+    next: StreamNumber,
+    heads: HashMap<EndpointId, HeadState>,
+}
+
+struct HeadState {
+    target: ServingTarget,
+    watch: StallWatch,
+    streams: HashMap<StreamNumber, StreamState>,
+    next_probe_at: Instant,
+    is_suspect: bool,
+}
+
+struct StreamState {
+    sent_at: Instant,
+    has_started: bool,
+    sender: Sender<()>,
+}
+
+impl StallBoard {
+    /// Notes a stream that is sent to `target`; the receiver tells when it is lost.
+    pub(crate) fn enter(&self, target: &ServingTarget) -> (StreamNumber, Receiver<()>) {
+        let now = Instant::now();
+        let (sender, receiver) = channel::bounded(1);
+        let mut state = self.state.lock().expect("stall lock");
+        let number = state.next;
+        state.next += 1;
+        let head = state
+            .heads
+            .entry(target.endpoint.clone())
+            .or_insert_with(|| HeadState {
+                target: target.clone(),
+                watch: StallWatch::new(now),
+                streams: HashMap::new(),
+                next_probe_at: now,
+                is_suspect: false,
+            });
+        head.target = target.clone();
+        let stream = StreamState {
+            sent_at: now,
+            has_started: false,
+            sender,
+        };
+        head.streams.insert(number, stream);
+        (number, receiver)
+    }
+
+    /// Notes an event of a stream.
+    pub(crate) fn observe_event(&self, endpoint: &EndpointId, number: StreamNumber) {
+        let now = Instant::now();
+        let mut state = self.state.lock().expect("stall lock");
+        let Some(head) = state.heads.get_mut(endpoint) else {
+            return;
+        };
+        head.is_suspect = false;
+        let Some(stream) = head.streams.get_mut(&number) else {
+            return;
+        };
+        if !stream.has_started {
+            stream.has_started = true;
+            head.watch.stream_started(now);
+        }
+        head.watch.observe_event(now);
+    }
+
+    /// Notes the end of a stream.
+    pub(crate) fn leave(&self, endpoint: &EndpointId, number: StreamNumber) {
+        let mut state = self.state.lock().expect("stall lock");
+        let Some(head) = state.heads.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(stream) = head.streams.remove(&number) && stream.has_started {
+            head.watch.stream_ended();
+        }
+        if head.streams.is_empty() {
+            state.heads.remove(endpoint);
+        }
+    }
+
+    /// Returns the heads that are due for a probe and marks them as suspect.
+    pub(crate) fn due_probes(&self, now: Instant) -> Vec<ServingTarget> {
+        let mut due = Vec::new();
+        let mut state = self.state.lock().expect("stall lock");
+        for head in state.heads.values_mut() {
+            if now < head.next_probe_at {
+                continue;
+            }
+            let waiting = head.streams.values().filter(|stream| !stream.has_started);
+            let first_due = waiting.map(|stream| stream.sent_at + FIRST_EVENT_SILENCE).min();
+            let is_silent = head.watch.silent_at().is_some_and(|at| now >= at);
+            // A first event may be late because of a long queue; events of other
+            // streams show that the group works.
+            let has_progress = now < head.watch.last_event() + FIRST_EVENT_SILENCE;
+            let is_late = first_due.is_some_and(|at| now >= at) && !has_progress;
+            if !is_silent && !is_late {
+                continue;
+            }
+            head.next_probe_at = now + PROBE_PAUSE;
+            head.is_suspect = true;
+            due.push(head.target.clone());
+        }
+        due
+    }
+
+    /// Makes a head due for a probe at once; tells whether there are streams to it
+    /// that have not had an event lately.
+    pub(crate) fn hurry_probe(&self, endpoint: &EndpointId) -> Option<ServingTarget> {
+        let now = Instant::now();
+        let mut state = self.state.lock().expect("stall lock");
+        let head = state.heads.get_mut(endpoint)?;
+        let is_moving = now < head.watch.last_event() + Duration::from_millis(60);
+        if is_moving || now < head.next_probe_at {
+            return None;
+        }
+        head.next_probe_at = now + PROBE_PAUSE;
+        Some(head.target.clone())
+    }
+
+    /// Takes the result of a probe: the group answered as it should.
+    pub(crate) fn clear(&self, endpoint: &EndpointId) {
+        let mut state = self.state.lock().expect("stall lock");
+        if let Some(head) = state.heads.get_mut(endpoint) {
+            head.is_suspect = false;
+        }
+    }
+
+    /// Tells all streams of a head that it is lost; returns their number.
+    pub(crate) fn give_up(&self, endpoint: &EndpointId) -> usize {
+        let state = self.state.lock().expect("stall lock");
+        let Some(head) = state.heads.get(endpoint) else {
+            return 0;
+        };
+        for stream in head.streams.values() {
+            // A full channel means that it has been told already.
+            let _ = stream.sender.try_send(());
+        }
+        head.streams.len()
+    }
+
+    /// Tells whether this router has streams to a head.
+    pub(crate) fn has_streams(&self, endpoint: &EndpointId) -> bool {
+        let state = self.state.lock().expect("stall lock");
+        state.heads.contains_key(endpoint)
+    }
+
+    /// Tells whether a head is silent at the moment.
+    pub(crate) fn is_suspect(&self, endpoint: &EndpointId) -> bool {
+        let state = self.state.lock().expect("stall lock");
+        state.heads.get(endpoint).is_some_and(|head| head.is_suspect)
+    }
+}
--- /dev/null
+++ b/gateway/src/stream_relay.rs
@@ -0,0 +1,218 @@
+//! Passes the events of a stream on as they arrive.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::Response;
+use hyper::body::Frame;
+use jujuberoad::routing::WholeEvent;
+use jujuberoad_node::http::BodyError;
+use jujuberoad_node::http::ReplyBody;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
+
+use crate::call_deadline::by_deadline;
+use crate::event_source::EventSource;
+use crate::event_source::SourceItem;
+use crate::stream_call::OpenRun;
+use crate::stream_call::StreamCall;
+use crate::stream_call::StreamEntry;
+
+/// Silence of one stream after which it is lost although its group works: its
+/// connection has gone silent. Callers leave after 2 s.
+const STREAM_SILENCE: Duration = Duration::from_millis(900);
+
+/// Carries one stream to its caller; dropped with it when the caller leaves.
+pub(crate) struct StreamRelay {
+    call: StreamCall,
+    entry: StreamEntry,
+    source: EventSource,
+    first: Option<Vec<WholeEvent>>,
+    last_event: Option<u64>,
+    sent_events: u64,
+    resumes: u32,
+    first_ms: u64,
+    last_sent_at: Instant,
+    longest_gap_ms: u64,
+    has_ended: bool,
+}
+
+impl StreamRelay {
+    /// Returns the answer to the caller, with the head of the first run.
+    pub(crate) fn respond(call: StreamCall, run: OpenRun) -> Response<ReplyBody> {
+        let OpenRun {
+            entry,
+            parts,
+            source,
+            first,
+        } = run;
+        let first_ms = call.request.age_ms();
+        call.core.metrics.first_event_ms.observe(first_ms as f64);
+        let relay = Self {
+            last_event: call.request.head.seen_event,
+            call,
+            entry,
+            source,
+            first,
+            sent_events: 0,
+            resumes: 0,
+            first_ms,
+            last_sent_at: Instant::now(),
+            longest_gap_ms: 0,
+            has_ended: false,
+        };
+        let frames = futures_lite::stream::unfold(relay, |mut relay| async move {
+            let item = relay.next_bytes().await?;
+            Some((item.map(Frame::data), relay))
+        });
+        Response::from_parts(parts, BodyExt::boxed_unsync(StreamBody::new(frames)))
+    }
+
+    /// Returns the next bytes; nothing after the end, an error where it is cut.
+    async fn next_bytes(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if self.has_ended {
+            return None;
+        }
+        loop {
+            let item = match self.first.take() {
+                Some(events) => SourceItem::Events(events),
+                None => self.next_item().await,
+            };
+            match item {
+                SourceItem::Events(events) => {
+                    let bytes = self.forward(events);
+                    if !bytes.is_empty() {
+                        return Some(Ok(bytes));
+                    }
+                }
+                SourceItem::Ended => {
+                    self.end("answered", "complete");
+                    return None;
+                }
+                SourceItem::Lost(reason) => {
+                    if let Err(reason) = self.resume(&reason).await {
+                        self.end("broken", &reason);
+                        return Some(Err(BodyError(reason)));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn next_item(&mut self) -> SourceItem {
+        let silent_at = Instant::now() + STREAM_SILENCE;
+        let deadline = self.call.request.deadline.min(silent_at);
+        let lost = self.entry.lost.clone();
+        let source = &mut self.source;
+        let signalled = async {
+            if lost.recv().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            SourceItem::Lost("the group fell silent".to_owned())
+        };
+        let item = by_deadline(deadline, source.next().or(signalled)).await;
+        item.unwrap_or_else(|| SourceItem::Lost("no event in time".to_owned()))
+    }
+
+    /// Returns the bytes of events that the caller does not have yet.
+    fn forward(&mut self, events: Vec<WholeEvent>) -> Bytes {
+        self.entry.observe_event();
+        let mut bytes = BytesMut::new();
+        for event in events {
+            if let Some(id) = event.id {
+                if self.last_event.is_some_and(|last| id <= last) {
+                    continue;
+                }
+                self.last_event = Some(id);
+            }
+            self.sent_events += 1;
+            bytes.extend_from_slice(&event.bytes);
+        }
+        let now = Instant::now();
+        let gap_ms = now.duration_since(self.last_sent_at).as_millis() as u64;
+        self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+        self.last_sent_at = now;
+        bytes.freeze()
+    }
+
+    /// Opens the stream again behind the last event that was passed on.
+    async fn resume(&mut self, reason: &str) -> Result<(), String> {
+        let lost = self.entry.endpoint().clone();
+        if Instant::now() >= self.call.request.deadline {
+            return Err("deadline passed".to_owned());
+        }
+        if !self.call.may_run_again() {
+            return Err(format!("{reason}; no further run is allowed"));
+        }
+        self.call.wait_as_resumed();
+        let opened = self.call.open(self.last_event).await;
+        let run = match opened {
+            Ok(Ok(run)) => run,
+            Ok(Err(response)) => {
+                let status = response.status();
+                return Err(format!("{reason}; resumed with status {status}"));
+            }
+            Err(answer) => return Err(format!("{reason}; {}", answer.reason)),
+        };
+        self.resumes += 1;
+        self.call.core.metrics.resumes.inc();
+        self.call.core.log.write(
+            LogKind::Resume,
+            json!({
+                "request": self.call.request.id,
+                "from": lost,
+                "to": run.entry.endpoint(),
+                "after_event": self.last_event,
+                "reason": reason,
+                "silent_ms": self.last_sent_at.elapsed().as_millis() as u64,
+            }),
+        );
+        self.entry = run.entry;
+        self.source = run.source;
+        self.first = run.first;
+        Ok(())
+    }
+
+    fn end(&mut self, outcome: &str, reason: &str) {
+        self.has_ended = true;
+        let request = &self.call.request;
+        let core = &self.call.core;
+        core.metrics.note_end(&request.route, outcome, request.age_ms());
+        let kind = if outcome == "answered" { LogKind::Answered } else { LogKind::Failed };
+        core.log.write(
+            kind,
+            json!({
+                "request": request.id,
+                "route": request.route.name,
+                "team": request.team,
+                "model": request.head.model,
+                "endpoint": self.entry.endpoint(),
+                "group": self.entry.taken.target.group.as_ref().map(ToString::to_string),
+                "outcome": outcome,
+                "reason": reason,
+                "runs": self.call.runs,
+                "resumes": self.resumes,
+                "events": self.sent_events,
+                "waited_ms": self.call.waited_ms,
+                "first_ms": self.first_ms,
+                "longest_gap_ms": self.longest_gap_ms,
+                "total_ms": request.age_ms(),
+                "prompt_tokens": request.head.prompt_tokens,
+                "config": request.config_version,
+            }),
+        );
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.end("caller_gone", "the caller closed its connection");
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/endpoint_table.rs
@@ -0,0 +1,86 @@
+//! All registered endpoints.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use super::EndpointRecord;
+use crate::ids::EndpointId;
+
+/// The registry as far as it is known, changed by events and by full reads.
+///
+/// Entries may lapse while the registry itself is away; those that a full read
+/// after an outage does not show are kept until a grace period has ended.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    records: BTreeMap<EndpointId, EndpointRecord>,
+    missing_until: BTreeMap<EndpointId, Instant>,
+}
+
+impl EndpointTable {
+    /// Adds or replaces an endpoint.
+    pub fn upsert(&mut self, record: EndpointRecord) {
+        self.missing_until.remove(&record.id);
+        self.records.insert(record.id.clone(), record);
+    }
+
+    /// Removes an endpoint, at once or once `keep_until` has passed.
+    pub fn remove(&mut self, id: &str, keep_until: Option<Instant>) {
+        match keep_until {
+            Some(until) if self.records.contains_key(id) => {
+                self.missing_until.entry(id.into()).or_insert(until);
+            }
+            _ => {
+                self.records.remove(id);
+                self.missing_until.remove(id);
+            }
+        }
+    }
+
+    /// Takes a full read; endpoints that it lacks go, at once or at `keep_until`.
+    pub fn replace_all(&mut self, records: Vec<EndpointRecord>, keep_until: Option<Instant>) {
+        let mut missing: Vec<EndpointId> = self.records.keys().cloned().collect();
+        for record in records {
+            missing.retain(|id| *id != record.id);
+            self.upsert(record);
+        }
+        for id in missing {
+            self.remove(&id, keep_until);
+        }
+    }
+
+    /// Removes the endpoints whose grace period has ended; tells whether any went.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let mut has_changed = false;
+        let ended: Vec<EndpointId> = self
+            .missing_until
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.missing_until.remove(&id);
+            has_changed |= self.records.remove(&id).is_some();
+        }
+        has_changed
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, id: &str) -> Option<&EndpointRecord> {
+        self.records.get(id)
+    }
+
+    /// Returns all endpoints in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.records.values()
+    }
+
+    /// Returns the number of endpoints.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/group_index.rs
@@ -0,0 +1,64 @@
+//! The groups that follow from the registry.
+
+use std::collections::BTreeMap;
+
+use super::EndpointState;
+use super::EndpointTable;
+use super::GroupKey;
+use super::GroupSummary;
+use crate::serving::ServingConfig;
+
+/// All groups of all services by their key.
+#[derive(Clone, Debug, Default)]
+pub struct GroupIndex {
+    /// The groups.
+    pub groups: BTreeMap<GroupKey, GroupSummary>,
+}
+
+impl GroupIndex {
+    /// Collects the groups of `table`; their sizes come from `config`.
+    pub fn collect(table: &EndpointTable, config: &ServingConfig) -> Self {
+        let mut groups: BTreeMap<GroupKey, GroupSummary> = BTreeMap::new();
+        for record in table.iter() {
+            let Some(membership) = &record.membership else {
+                continue;
+            };
+            let Some(model) = &record.model else {
+                continue;
+            };
+            let engine = config
+                .services
+                .get(&record.service)
+                .and_then(|service| service.engine.as_ref());
+            let profile = engine.and_then(|engine| {
+                let mut models = engine.models.iter();
+                models.find(|profile| profile.model == *model)
+            });
+            let Some(profile) = profile else {
+                continue;
+            };
+            let summary = groups
+                .entry(membership.key.clone())
+                .or_insert_with(|| GroupSummary {
+                    key: membership.key.clone(),
+                    service: record.service.clone(),
+                    model: model.clone(),
+                    zone: record.zone.clone(),
+                    domain: record.domain.clone(),
+                    members: Vec::new(),
+                    size: profile.size,
+                    is_draining: false,
+                });
+            let member = (membership.rank, record.id.clone(), membership.state);
+            summary.members.push(member);
+            summary.is_draining |= record.state == EndpointState::Draining;
+            if membership.rank == 0 {
+                summary.zone = record.zone.clone();
+            }
+        }
+        for summary in groups.values_mut() {
+            summary.members.sort_by_key(|(rank, _, _)| *rank);
+        }
+        Self { groups }
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/load_table.rs
@@ -0,0 +1,99 @@
+//! How much work each endpoint has been given.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::EndpointId;
+use crate::ids::RouterId;
+
+/// Requests and tokens that one router has under way at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// Requests under way.
+    pub requests: u32,
+    /// Prompt tokens of requests that have not begun to answer.
+    pub unread_tokens: u32,
+}
+
+/// Work under way from this router and, as they last said, from its peers.
+#[derive(Clone, Debug, Default)]
+pub struct LoadTable {
+    own: HashMap<EndpointId, EndpointLoad>,
+    peers: HashMap<RouterId, PeerLoad>,
+}
+
+#[derive(Clone, Debug)]
+struct PeerLoad {
+    loads: HashMap<EndpointId, EndpointLoad>,
+    valid_until: Instant,
+}
+
+impl LoadTable {
+    /// Notes a request that is about to be sent.
+    pub fn begin(&mut self, endpoint: &EndpointId, tokens: u32) {
+        let load = self.own.entry(endpoint.clone()).or_default();
+        load.requests += 1;
+        load.unread_tokens += tokens;
+    }
+
+    /// Notes that the prompt of a request has been read.
+    pub fn answered(&mut self, endpoint: &EndpointId, tokens: u32) {
+        if let Some(load) = self.own.get_mut(endpoint) {
+            load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Notes the end of a request; `tokens` are those still unread.
+    pub fn end(&mut self, endpoint: &EndpointId, tokens: u32) {
+        let Some(load) = self.own.get_mut(endpoint) else {
+            return;
+        };
+        load.requests = load.requests.saturating_sub(1);
+        load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
+        if load.requests == 0 {
+            self.own.remove(endpoint);
+        }
+    }
+
+    /// Takes what a peer says; it counts until `valid_until`.
+    pub fn observe_peer(
+        &mut self,
+        peer: RouterId,
+        loads: Vec<(EndpointId, EndpointLoad)>,
+        valid_until: Instant,
+    ) {
+        let loads = loads.into_iter().collect();
+        self.peers.insert(peer, PeerLoad { loads, valid_until });
+    }
+
+    /// Forgets peers that have not spoken in time.
+    pub fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| now < peer.valid_until);
+    }
+
+    /// Returns the work at an endpoint over all routers.
+    pub fn total(&self, endpoint: &EndpointId) -> EndpointLoad {
+        let mut total = self.own.get(endpoint).copied().unwrap_or_default();
+        for peer in self.peers.values() {
+            let Some(load) = peer.loads.get(endpoint) else {
+                continue;
+            };
+            total.requests += load.requests;
+            total.unread_tokens += load.unread_tokens;
+        }
+        total
+    }
+
+    /// Returns the work that this router has under way.
+    pub fn own(&self) -> impl Iterator<Item = (&EndpointId, &EndpointLoad)> {
+        self.own.iter()
+    }
+
+    /// Returns the number of peers that have spoken lately.
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/mod.rs
@@ -0,0 +1,46 @@
+//! Endpoints that come and go by themselves, and the groups that they form.
+//!
+//! An [`EndpointTable`] holds what the registry says, a [`GroupIndex`] the groups
+//! that follow from it, a [`ReplicaPlanner`] the orders by which groups are
+//! formed and repaired. [`StallWatch`] notices a group that has fallen silent.
+
+mod endpoint_record;
+mod endpoint_state;
+mod endpoint_table;
+mod group_index;
+mod group_key;
+mod group_membership;
+mod group_summary;
+mod load_table;
+mod member_state;
+mod order_answer;
+mod planned_order;
+mod replica_order;
+mod replica_planner;
+mod retry_allowance;
+mod serving_target;
+mod stall_watch;
+mod target_picker;
+mod target_table;
+
+pub use endpoint_record::EndpointRecord;
+pub use endpoint_state::EndpointState;
+pub use endpoint_table::EndpointTable;
+pub use group_index::GroupIndex;
+pub use group_key::GroupKey;
+pub use group_membership::GroupMembership;
+pub use group_summary::GroupSummary;
+pub use load_table::EndpointLoad;
+pub use load_table::LoadTable;
+pub use member_state::MemberState;
+pub use order_answer::OrderAnswer;
+pub use planned_order::PlannedOrder;
+pub use replica_order::ReplicaOrder;
+pub use replica_planner::PlannerInput;
+pub use replica_planner::ReplicaPlanner;
+pub use retry_allowance::RetryAllowance;
+pub use serving_target::ServingTarget;
+pub use stall_watch::StallWatch;
+pub use target_picker::TargetPicker;
+pub use target_table::PoolKey;
+pub use target_table::TargetTable;
--- /dev/null
+++ b/lib/src/fleet/replica_planner.rs
@@ -0,0 +1,465 @@
+//! Forms groups, opens them, and forms them anew when members are lost.
+//!
+//! The planner holds no truth of its own: what it knows of groups comes from the
+//! registry, and a new holder of the lease takes over what it finds there. What it
+//! remembers are orders under way, so that none is sent twice in a row.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::EndpointRecord;
+use super::EndpointState;
+use super::EndpointTable;
+use super::GroupIndex;
+use super::GroupKey;
+use super::GroupSummary;
+use super::MemberState;
+use super::OrderAnswer;
+use super::PlannedOrder;
+use super::ReplicaOrder;
+use crate::ids::DomainId;
+use crate::ids::EndpointId;
+use crate::ids::Epoch;
+use crate::ids::Fence;
+use crate::ids::Milliseconds;
+use crate::ids::ModelId;
+use crate::serving::EngineProfile;
+use crate::serving::ModelProfile;
+use crate::serving::ServingConfig;
+
+/// Time after which an order whose effect does not show is sent again: a write
+/// of the registry, a watch and a planning round fit in it.
+const ORDER_RETRY: Duration = Duration::from_millis(700);
+/// Time after which an order that does not fit yet is sent again.
+const CONFLICT_RETRY: Duration = Duration::from_millis(200);
+/// Time added to the stall limit before members of a lost head are used again,
+/// for the lag of the registry.
+const STALL_MARGIN: Duration = Duration::from_millis(400);
+/// Loads may take this many times their nominal time before they count as lost.
+const LOAD_PATIENCE: u64 = 4;
+/// Groups that one fence may number.
+const EPOCHS_PER_FENCE: u64 = 100_000;
+
+/// What the planner decides from.
+pub struct PlannerInput<'a> {
+    /// The registry.
+    pub table: &'a EndpointTable,
+    /// Groups that follow from it.
+    pub groups: &'a GroupIndex,
+    /// The configuration in force.
+    pub config: &'a ServingConfig,
+    /// Endpoints that do not answer although they are registered.
+    pub lost: &'a BTreeSet<EndpointId>,
+    /// Whether requests have begun, from when on loads are limited.
+    pub has_traffic: bool,
+    /// The current time.
+    pub now: Instant,
+}
+
+/// Decides which orders engines get.
+#[derive(Clone, Debug)]
+pub struct ReplicaPlanner {
+    stall_ms: Milliseconds,
+    next_epoch: Epoch,
+    formations: BTreeMap<GroupKey, Formation>,
+    retry_at: BTreeMap<(EndpointId, &'static str), Instant>,
+    loading: BTreeMap<EndpointId, Loading>,
+    heads_lost: BTreeMap<GroupKey, Instant>,
+}
+
+#[derive(Clone, Debug)]
+struct Formation {
+    model: ModelId,
+    members: Vec<EndpointId>,
+}
+
+#[derive(Clone, Debug)]
+struct Loading {
+    model: ModelId,
+    give_up_at: Instant,
+}
+
+/// The VMs of one service by what can be done with them.
+struct Sorting<'a> {
+    engine: &'a EngineProfile,
+    free: Vec<&'a EndpointRecord>,
+}
+
+impl ReplicaPlanner {
+    /// Starts a term with `fence`; a head that lost a member gives up after `stall_ms`.
+    pub fn new(fence: Fence, stall_ms: Milliseconds) -> Self {
+        Self {
+            stall_ms,
+            next_epoch: fence * EPOCHS_PER_FENCE + 1,
+            formations: BTreeMap::new(),
+            retry_at: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            heads_lost: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the orders that are due.
+    pub fn plan(&mut self, input: &PlannerInput<'_>) -> Vec<PlannedOrder> {
+        let mut orders = Vec::new();
+        self.forget(input);
+        for (name, service) in &input.config.services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let held = self.tend_groups(name, input, &mut orders);
+            let mut sorting = Sorting {
+                engine,
+                free: Vec::new(),
+            };
+            for record in input.table.iter() {
+                let is_usable = record.service == *name
+                    && record.state == EndpointState::Ready
+                    && !input.lost.contains(&record.id)
+                    && !held.contains(&record.id);
+                if is_usable {
+                    sorting.free.push(record);
+                }
+            }
+            self.form_groups(&mut sorting, input, &mut orders);
+            self.stage_weights(&sorting, input, &mut orders);
+        }
+        orders
+    }
+
+    /// Takes the answer to an order.
+    pub fn observe_answer(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
+        let pause = match answer {
+            OrderAnswer::Conflict => CONFLICT_RETRY,
+            _ => ORDER_RETRY,
+        };
+        let key = (order.endpoint.clone(), order.order.name());
+        self.retry_at.insert(key, now + pause);
+    }
+
+    /// Returns the number of loads under way.
+    pub fn loading_count(&self) -> usize {
+        self.loading.len()
+    }
+
+    fn forget(&mut self, input: &PlannerInput<'_>) {
+        let now = input.now;
+        self.retry_at.retain(|_, at| now < *at);
+        self.loading.retain(|id, loading| {
+            let Some(record) = input.table.get(id) else {
+                return false;
+            };
+            now < loading.give_up_at && !record.has_staged(&loading.model)
+        });
+        let groups = &input.groups.groups;
+        self.heads_lost.retain(|key, _| groups.contains_key(key));
+    }
+
+    /// Tends all groups of a service; returns the VMs that are not free.
+    fn tend_groups(
+        &mut self,
+        service: &str,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> BTreeSet<EndpointId> {
+        let mut held = BTreeSet::new();
+        for summary in input.groups.groups.values() {
+            if summary.service != service || self.formations.contains_key(&summary.key) {
+                continue;
+            }
+            if self.tend_group(summary, input, orders) {
+                held.extend(summary.members.iter().map(|(_, id, _)| id.clone()));
+            }
+        }
+        let keys: Vec<GroupKey> = self.formations.keys().cloned().collect();
+        for key in keys {
+            held.extend(self.tend_formation(&key, input, orders));
+        }
+        held
+    }
+
+    /// Tends a group that is not being formed; tells whether its members are bound.
+    fn tend_group(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> bool {
+        let has_lost = summary
+            .members
+            .iter()
+            .any(|(_, id, _)| input.lost.contains(id));
+        let is_sound = summary.is_whole() && !summary.is_draining && !has_lost;
+        let head = summary.head().filter(|id| !input.lost.contains(*id));
+        let Some(head) = head else {
+            return !self.is_head_over(summary, input.now);
+        };
+        match summary.head_state() {
+            Some(MemberState::Open) if is_sound => true,
+            Some(MemberState::Ready | MemberState::Joining) if is_sound => {
+                let formation = Formation {
+                    model: summary.model.clone(),
+                    members: summary.members.iter().map(|member| member.1.clone()).collect(),
+                };
+                self.formations.insert(summary.key.clone(), formation);
+                true
+            }
+            Some(MemberState::Open | MemberState::Closing) => {
+                let key = summary.key.clone();
+                let is_leaving = summary.is_draining && summary.is_whole() && !has_lost;
+                let (order, reason) = if is_leaving {
+                    let is_abrupt = false;
+                    (ReplicaOrder::Close { key, is_abrupt }, "a member is leaving")
+                } else {
+                    (ReplicaOrder::Leave { key }, "a member is lost")
+                };
+                let is_closing = summary.head_state() == Some(MemberState::Closing);
+                if !(is_leaving && is_closing) {
+                    self.push(head, order, reason, input, orders);
+                }
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells whether a head that cannot be asked has given up by now.
+    fn is_head_over(&mut self, summary: &GroupSummary, now: Instant) -> bool {
+        let lost_at = *self.heads_lost.entry(summary.key.clone()).or_insert(now);
+        now >= lost_at + Duration::from_millis(self.stall_ms) + STALL_MARGIN
+    }
+
+    /// Tends a group that is being formed; returns the VMs that it binds.
+    fn tend_formation(
+        &mut self,
+        key: &GroupKey,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> Vec<EndpointId> {
+        let Some(formation) = self.formations.get(key).cloned() else {
+            return Vec::new();
+        };
+        let is_possible = formation.members.iter().all(|id| {
+            let record = input.table.get(id);
+            let is_ready = record.is_some_and(|record| record.state == EndpointState::Ready);
+            is_ready && !input.lost.contains(id)
+        });
+        let summary = input.groups.groups.get(key);
+        if !is_possible || summary.is_some_and(|summary| summary.is_serving()) {
+            self.formations.remove(key);
+            return if is_possible {
+                formation.members
+            } else {
+                Vec::new()
+            };
+        }
+        let head = formation.members[0].clone();
+        if summary.is_some_and(|summary| summary.is_loaded()) {
+            let order = ReplicaOrder::Open { key: key.clone() };
+            self.push(&head, order, "all members are ready", input, orders);
+            return formation.members;
+        }
+        for id in &formation.members {
+            let joined = input.table.get(id).and_then(|record| record.membership.as_ref());
+            if joined.is_some_and(|membership| membership.key == *key) {
+                continue;
+            }
+            let order = formation.join(key);
+            self.push(id, order, "a member has not joined yet", input, orders);
+        }
+        formation.members
+    }
+
+    /// Forms groups from free VMs that hold the same model in one domain.
+    fn form_groups(
+        &mut self,
+        sorting: &mut Sorting<'_>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let mut taken: BTreeSet<EndpointId> = BTreeSet::new();
+        for (_, records) in by_domain(&sorting.free) {
+            for profile in &sorting.engine.models {
+                let mut usable: Vec<&EndpointRecord> = records
+                    .iter()
+                    .copied()
+                    .filter(|record| !taken.contains(&record.id))
+                    .filter(|record| self.holds(record, &profile.model, input))
+                    .collect();
+                // Those whose last group held the model join fastest.
+                usable.sort_by_key(|record| record.model.as_ref() != Some(&profile.model));
+                for members in usable.chunks_exact(profile.size.max(1)) {
+                    taken.extend(members.iter().map(|record| record.id.clone()));
+                    self.begin_formation(profile, members, input, orders);
+                }
+            }
+        }
+        sorting.free.retain(|record| !taken.contains(&record.id));
+    }
+
+    /// Tells whether a VM may join a group of `model` without a counted load.
+    fn holds(&self, record: &EndpointRecord, model: &str, input: &PlannerInput<'_>) -> bool {
+        if record.has_staged(model) {
+            return true;
+        }
+        let is_loading = self.loading.get(&record.id);
+        !input.has_traffic && is_loading.is_some_and(|loading| loading.model == model)
+    }
+
+    fn begin_formation(
+        &mut self,
+        profile: &ModelProfile,
+        members: &[&EndpointRecord],
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let epoch = self.next_epoch;
+        self.next_epoch += 1;
+        let key = GroupKey {
+            group: format!("g{epoch}").into(),
+            epoch,
+        };
+        let formation = Formation {
+            model: profile.model.clone(),
+            members: members.iter().map(|record| record.id.clone()).collect(),
+        };
+        for id in &formation.members {
+            self.retry_at.remove(&(id.clone(), "join"));
+            let order = formation.join(&key);
+            self.push(id, order, "enough free VMs in the domain", input, orders);
+        }
+        self.formations.insert(key, formation);
+    }
+
+    /// Chooses models for VMs that hold none and has them loaded.
+    fn stage_weights(
+        &mut self,
+        sorting: &Sorting<'_>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let domains = by_domain(&sorting.free);
+        for (domain, records) in domains {
+            for record in records {
+                let is_empty = record.staged.is_empty() && !self.loading.contains_key(&record.id);
+                if !is_empty {
+                    continue;
+                }
+                let limit = sorting.engine.parallel_loads.max(1);
+                if input.has_traffic && self.loading.len() >= limit {
+                    return;
+                }
+                let Some(profile) = self.choose_model(&domain, record, sorting.engine, input)
+                else {
+                    continue;
+                };
+                let span = Duration::from_millis(profile.load_ms * LOAD_PATIENCE);
+                let loading = Loading {
+                    model: profile.model.clone(),
+                    give_up_at: input.now + span,
+                };
+                self.loading.insert(record.id.clone(), loading);
+                let order = ReplicaOrder::Stage {
+                    model: profile.model.clone(),
+                };
+                self.push(&record.id, order, "the host holds no weights", input, orders);
+            }
+        }
+    }
+
+    /// Chooses the model of an empty VM: the one of its domain, so that what is
+    /// left of broken groups can be joined; in a new domain the one that is short.
+    fn choose_model<'a>(
+        &self,
+        domain: &str,
+        record: &EndpointRecord,
+        engine: &'a EngineProfile,
+        input: &PlannerInput<'_>,
+    ) -> Option<&'a ModelProfile> {
+        let mut in_domain: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut domains: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        let mut zone_domains: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for other in input.table.iter() {
+            if other.service != record.service {
+                continue;
+            }
+            let loading = self.loading.get(&other.id).map(|loading| &loading.model);
+            let Some(model) = loading.or(other.staged.first()) else {
+                continue;
+            };
+            domains.entry(model).or_default().insert(&other.domain);
+            if other.domain == domain {
+                *in_domain.entry(model).or_default() += 1;
+            }
+            if other.zone == record.zone {
+                zone_domains.entry(model).or_default().insert(&other.domain);
+            }
+        }
+        let weight = |counts: &BTreeMap<&str, BTreeSet<&str>>, profile: &ModelProfile| {
+            let count = counts.get(profile.model.as_str()).map_or(0, BTreeSet::len);
+            count as f64 / profile.share.max(0.01)
+        };
+        let settled = engine.models.iter().max_by_key(|profile| {
+            in_domain.get(profile.model.as_str()).copied().unwrap_or(0)
+        })?;
+        if in_domain.contains_key(settled.model.as_str()) {
+            return Some(settled);
+        }
+        engine.models.iter().min_by(|left, right| {
+            let zone = weight(&zone_domains, left).total_cmp(&weight(&zone_domains, right));
+            zone.then(weight(&domains, left).total_cmp(&weight(&domains, right)))
+        })
+    }
+
+    /// Adds an order unless the same one is under way.
+    fn push(
+        &mut self,
+        id: &EndpointId,
+        order: ReplicaOrder,
+        reason: &'static str,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let key = (id.clone(), order.name());
+        let is_under_way = self.retry_at.get(&key).is_some_and(|at| input.now < *at);
+        if is_under_way {
+            return;
+        }
+        let Some(address) = address_of(input.table, id) else {
+            return;
+        };
+        self.retry_at.insert(key, input.now + ORDER_RETRY);
+        orders.push(PlannedOrder {
+            endpoint: id.clone(),
+            address,
+            order,
+            reason,
+        });
+    }
+}
+
+impl Formation {
+    fn join(&self, key: &GroupKey) -> ReplicaOrder {
+        ReplicaOrder::Join {
+            key: key.clone(),
+            model: self.model.clone(),
+            members: self.members.clone(),
+        }
+    }
+}
+
+fn address_of(table: &EndpointTable, id: &str) -> Option<SocketAddr> {
+    table.get(id).map(|record| record.address)
+}
+
+fn by_domain<'a>(
+    records: &[&'a EndpointRecord],
+) -> BTreeMap<DomainId, Vec<&'a EndpointRecord>> {
+    let mut domains: BTreeMap<DomainId, Vec<&EndpointRecord>> = BTreeMap::new();
+    for record in records {
+        domains.entry(record.domain.clone()).or_default().push(record);
+    }
+    domains
+}
--- /dev/null
+++ b/lib/src/fleet/stall_watch.rs
@@ -0,0 +1,76 @@
+//! Notices that a group has stopped to produce events.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Shortest silence that is taken as a sign; events of a full batch are about
+/// 50 ms apart, and a long prompt read in between adds up to 45 ms.
+const MIN_SILENCE: Duration = Duration::from_millis(120);
+/// Longest silence that passes as normal; pauses of 200 to 300 ms are on time.
+const MAX_SILENCE: Duration = Duration::from_millis(400);
+/// Silence is a sign after this many usual gaps.
+const GAPS_OF_SILENCE: f64 = 2.5;
+/// Weight of a new gap in the mean of gaps.
+const GAP_WEIGHT: f64 = 0.1;
+/// Gap that is assumed before any has been seen.
+const FIRST_GAP_MS: f64 = 55.0;
+
+/// Watches the events of all streams of one group.
+///
+/// The streams of a group advance together, so silence over all of them says
+/// more than silence of one.
+#[derive(Clone, Debug)]
+pub struct StallWatch {
+    last_event: Instant,
+    gap_ms: f64,
+    running: usize,
+}
+
+impl StallWatch {
+    /// Starts to watch a group.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            last_event: now,
+            gap_ms: FIRST_GAP_MS,
+            running: 0,
+        }
+    }
+
+    /// Notes that a stream has had its first event.
+    pub fn stream_started(&mut self, now: Instant) {
+        if self.running == 0 {
+            self.last_event = now;
+        }
+        self.running += 1;
+    }
+
+    /// Notes that a stream with events has ended.
+    pub fn stream_ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Notes an event of any stream.
+    pub fn observe_event(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.last_event);
+        let gap_ms = gap.as_secs_f64() * 1_000.0;
+        // Streams of one pass arrive together; only the gap between passes counts.
+        if gap_ms > 5.0 {
+            self.gap_ms += GAP_WEIGHT * (gap_ms - self.gap_ms);
+        }
+        self.last_event = now;
+    }
+
+    /// Returns the moment from which the group counts as silent.
+    pub fn silent_at(&self) -> Option<Instant> {
+        if self.running == 0 {
+            return None;
+        }
+        let usual = Duration::from_secs_f64(self.gap_ms * GAPS_OF_SILENCE / 1_000.0);
+        Some(self.last_event + usual.clamp(MIN_SILENCE, MAX_SILENCE))
+    }
+
+    /// Returns the moment of the last event.
+    pub fn last_event(&self) -> Instant {
+        self.last_event
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/target_picker.rs
@@ -0,0 +1,60 @@
+//! Picks the target whose first event comes soonest.
+
+use super::EndpointLoad;
+use super::LoadTable;
+use super::ServingTarget;
+use crate::ids::EndpointId;
+
+/// Delay that a target in another zone must save to be preferred: bytes between
+/// zones are billed, and a round trip costs up to 3 ms.
+const OTHER_ZONE_MS: f64 = 12.0;
+/// Spread that keeps routers with the same view from picking the same target.
+const SPREAD_MS: f64 = 10.0;
+
+/// A pick among the targets of one pool.
+pub struct TargetPicker<'a> {
+    /// Work under way.
+    pub loads: &'a LoadTable,
+    /// Zone of this router.
+    pub zone: &'a str,
+    /// Endpoints that take nothing now.
+    pub avoided: &'a dyn Fn(&ServingTarget) -> bool,
+    /// Requests above the slots of a target that may be sent to it, to queue there.
+    pub extra: u32,
+}
+
+impl TargetPicker<'_> {
+    /// Returns the best target; `draw` gives numbers in 0..1.
+    pub fn pick<'t>(
+        &self,
+        targets: &'t [ServingTarget],
+        mut draw: impl FnMut() -> f64,
+    ) -> Option<&'t ServingTarget> {
+        let mut best: Option<(f64, &ServingTarget)> = None;
+        for target in targets {
+            let load = self.load(&target.endpoint);
+            if load.requests >= target.slots + self.extra || (self.avoided)(target) {
+                continue;
+            }
+            let mut delay = first_event_ms(target, load) + SPREAD_MS * draw();
+            if target.zone != self.zone {
+                delay += OTHER_ZONE_MS;
+            }
+            if best.is_none_or(|(least, _)| delay < least) {
+                best = Some((delay, target));
+            }
+        }
+        best.map(|(_, target)| target)
+    }
+
+    fn load(&self, endpoint: &EndpointId) -> EndpointLoad {
+        self.loads.total(endpoint)
+    }
+}
+
+/// Estimates the time until the first event of one more request, in milliseconds.
+fn first_event_ms(target: &ServingTarget, load: EndpointLoad) -> f64 {
+    let unread = f64::from(load.unread_tokens) * target.read_ms_per_token;
+    let pass = target.pass_ms + f64::from(load.requests) * target.pass_ms_per_request;
+    unread + pass
+}
--- /dev/null
+++ b/lib/src/fleet/target_table.rs
@@ -0,0 +1,131 @@
+//! All places to which requests can be sent.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use super::EndpointRecord;
+use super::EndpointState;
+use super::EndpointTable;
+use super::GroupIndex;
+use super::GroupSummary;
+use super::ServingTarget;
+use crate::ids::ModelId;
+use crate::ids::ServiceId;
+use crate::ids::ZoneId;
+use crate::serving::EngineProfile;
+use crate::serving::ServingConfig;
+
+/// Which endpoints can take a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PoolKey {
+    /// The service.
+    pub service: ServiceId,
+    /// The model, where the service holds models in groups.
+    pub model: Option<ModelId>,
+}
+
+/// Serving targets by pool, without zones that are out of service.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    pools: HashMap<PoolKey, Vec<ServingTarget>>,
+}
+
+impl TargetTable {
+    /// Collects the targets from the registry.
+    pub fn collect(
+        table: &EndpointTable,
+        groups: &GroupIndex,
+        config: &ServingConfig,
+        evacuated: &BTreeSet<ZoneId>,
+    ) -> Self {
+        let mut targets = Self::default();
+        for summary in groups.groups.values() {
+            if summary.is_serving() && !evacuated.contains(&summary.zone) {
+                targets.add_group(summary, table, config);
+            }
+        }
+        for record in table.iter() {
+            if record.state != EndpointState::Ready || evacuated.contains(&record.zone) {
+                continue;
+            }
+            let Some(service) = config.services.get(&record.service) else {
+                continue;
+            };
+            if service.engine.is_none() {
+                let target = plain_target(record, service.cold_per_second);
+                targets.push(&record.service, None, target);
+            }
+        }
+        targets
+    }
+
+    /// Returns the targets of a pool.
+    pub fn pool(&self, key: &PoolKey) -> &[ServingTarget] {
+        self.pools.get(key).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = &ServingTarget> {
+        self.pools.values().flatten()
+    }
+
+    /// Tells whether there is no target at all.
+    pub fn is_empty(&self) -> bool {
+        self.pools.is_empty()
+    }
+
+    fn add_group(&mut self, summary: &GroupSummary, table: &EndpointTable, config: &ServingConfig) {
+        let Some(service) = config.services.get(&summary.service) else {
+            return;
+        };
+        let Some(engine) = &service.engine else {
+            return;
+        };
+        let Some(head) = summary.head().and_then(|id| table.get(id)) else {
+            return;
+        };
+        let mut target = plain_target(head, service.cold_per_second);
+        for (_, id, _) in &summary.members {
+            if let Some(record) = table.get(id) {
+                target.members.push((id.clone(), record.address));
+            }
+        }
+        let pace = pace_of(engine, &summary.model);
+        let stride = f64::from(engine.stride.max(1));
+        target.group = Some(summary.key.clone());
+        target.slots = engine.slots.max(1);
+        target.read_ms_per_token = pace * 1_000.0 / engine.read_per_second.max(1.0);
+        target.pass_ms = pace * stride * engine.step_ms;
+        target.pass_ms_per_request = pace * stride * engine.step_ms_per_request;
+        self.push(&summary.service, Some(summary.model.clone()), target);
+    }
+
+    fn push(&mut self, service: &ServiceId, model: Option<ModelId>, target: ServingTarget) {
+        let service = service.clone();
+        let key = PoolKey { service, model };
+        self.pools.entry(key).or_default().push(target);
+    }
+}
+
+fn pace_of(engine: &EngineProfile, model: &str) -> f64 {
+    let mut models = engine.models.iter();
+    let profile = models.find(|profile| profile.model == model);
+    profile.map_or(1.0, |profile| profile.pace)
+}
+
+fn plain_target(record: &EndpointRecord, cold_per_second: f64) -> ServingTarget {
+    ServingTarget {
+        endpoint: record.id.clone(),
+        address: record.address,
+        zone: record.zone.clone(),
+        group: None,
+        members: Vec::new(),
+        slots: record.slots.max(1),
+        cold_until: record.cold_until,
+        cold_per_second,
+        read_ms_per_token: 0.0,
+        pass_ms: 0.0,
+        // A plain request holds a slot for some ten milliseconds.
+        pass_ms_per_request: 10.0,
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod claims;
 pub mod config;
+pub mod fleet;
 pub mod health;
 pub mod ids;
 pub mod membership;
@@ -15,4 +16,5 @@
 pub mod peer;
 pub mod placement;
 pub mod routing;
+pub mod serving;
 pub mod slots;
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -6,6 +6,9 @@
 use crate::claims::ClaimAnswer;
 use crate::claims::ClaimKey;
 use crate::claims::ClaimReply;
+use crate::fleet::EndpointLoad;
+use crate::fleet::GroupKey;
+use crate::ids::EndpointId;
 use crate::ids::Milliseconds;
 use crate::ids::Nonce;
 use crate::membership::ConfirmedVersion;
@@ -65,6 +68,20 @@
         /// Whether it is on record in the platform's store.
         is_recorded: bool,
     },
+    /// Tells how much work the sender has under way at endpoints.
+    Loads {
+        /// Work by endpoint.
+        loads: Vec<(EndpointId, EndpointLoad)>,
+    },
+    /// Tells that a head has fallen silent and does not answer a probe.
+    Silent {
+        /// The head.
+        endpoint: EndpointId,
+        /// Its group.
+        group: GroupKey,
+        /// Member that did not answer.
+        lost: EndpointId,
+    },
 }
 
 impl PeerMessage {
--- a/lib/src/routing/mod.rs
+++ b/lib/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod attempt_trail;
 mod choice_hint;
 mod closed_reason;
+mod event_splitter;
 mod lagging_chooser;
 mod model_name;
 mod prefix_chooser;
@@ -18,6 +19,8 @@
 pub use attempt_trail::AttemptTrail;
 pub use choice_hint::ChoiceHint;
 pub use closed_reason::ClosedReason;
+pub use event_splitter::EventSplitter;
+pub use event_splitter::WholeEvent;
 pub use lagging_chooser::LaggingChooser;
 pub use model_name::ModelName;
 pub use prefix_chooser::PrefixChooser;
--- /dev/null
+++ b/lib/src/serving/mod.rs
@@ -0,0 +1,24 @@
+//! What an operator lets callers ask for: routes, services, teams and limits.
+//!
+//! A [`ServingConfig`] is accepted as a whole; requests are matched against one
+//! version of it from their head to their end.
+
+mod engine_profile;
+mod model_profile;
+mod route_kind;
+mod route_spec;
+mod service_profile;
+mod service_share;
+mod serving_config;
+mod team_access;
+mod traffic_limits;
+
+pub use engine_profile::EngineProfile;
+pub use model_profile::ModelProfile;
+pub use route_kind::RouteKind;
+pub use route_spec::RouteSpec;
+pub use service_profile::ServiceProfile;
+pub use service_share::ServiceShare;
+pub use serving_config::ServingConfig;
+pub use team_access::TeamAccess;
+pub use traffic_limits::TrafficLimits;
--- /dev/null
+++ b/node/src/backends/replica_control.rs
@@ -0,0 +1,31 @@
+//! Orders to engines, and whether they answer.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use jujuberoad::fleet::GroupMembership;
+use jujuberoad::fleet::OrderAnswer;
+use jujuberoad::fleet::PlannedOrder;
+use jujuberoad::ids::Fence;
+
+use super::CallError;
+
+/// The control side of engines that form groups.
+#[async_trait]
+pub trait ReplicaControl: Send + Sync {
+    /// Gives an order under `fence`.
+    async fn order(
+        &self,
+        order: &PlannedOrder,
+        fence: Fence,
+        deadline: Instant,
+    ) -> Result<OrderAnswer, CallError>;
+
+    /// Asks an engine which group it has joined, over a new connection.
+    async fn probe(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<Option<GroupMembership>, CallError>;
+}
--- a/node/src/backends/store_error.rs
+++ b/node/src/backends/store_error.rs
@@ -26,6 +26,14 @@
         /// HTTP status of the refusal.
         status: u16,
     },
+    /// Changes since the watched version are no longer on record.
+    #[error("the store no longer holds the changes below {prefix:?} since version {after}")]
+    HistoryGone {
+        /// The prefix.
+        prefix: String,
+        /// Version from which changes were asked for.
+        after: StoreVersion,
+    },
     /// The lease is unknown or has lapsed.
     #[error("lease {0} has lapsed")]
     LeaseLapsed(u64),
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -17,11 +17,13 @@
 use hyper::Response;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use jujuberoad::ids::Milliseconds;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 use super::HttpReply;
 use super::PooledBody;
+use super::set_liveness_options;
 use crate::backends::CallError;
 use crate::backends::CallStep;
 use crate::runtime;
@@ -30,8 +32,8 @@
 const IDLE_TRUST: Duration = Duration::from_secs(1);
 /// Idle connections kept for one peer.
 const MAX_IDLE_PER_PEER: usize = 64;
-/// Time within which a connection must be open.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time within which a connection must be open, unless a pool says otherwise.
+const CONNECT_MS: Milliseconds = 1_000;
 /// Largest answer that `exchange` reads, in bytes.
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
@@ -40,8 +42,8 @@
 /// A connection may go silent for good without an error, so one that has been
 /// idle for longer is closed, and one that let a deadline pass is never used
 /// again, nor are the others that were idle for the same peer at that time.
-#[derive(Default)]
 pub struct HttpPool {
+    connect_ms: Milliseconds,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -53,7 +55,15 @@
 impl HttpPool {
     /// Opens an empty pool.
     pub fn new() -> Arc<Self> {
-        Arc::new(Self::default())
+        Self::with_connect_limit(CONNECT_MS)
+    }
+
+    /// Opens an empty pool whose connections must be open within `connect_ms`.
+    pub fn with_connect_limit(connect_ms: Milliseconds) -> Arc<Self> {
+        Arc::new(Self {
+            connect_ms,
+            idle: Mutex::default(),
+        })
     }
 
     /// Sends `request` and returns the head of its answer by `head_by`.
@@ -67,7 +77,7 @@
         let idle = if fresh { None } else { self.take_idle(address) };
         let mut sender = match idle {
             Some(sender) => sender,
-            None => connect(address, head_by).await?,
+            None => self.connect(address, head_by).await?,
         };
         let mut pending = request;
         for _ in 0..2 {
@@ -82,7 +92,7 @@
                     ..
                 }) => pending = request,
             }
-            sender = connect(address, head_by).await?;
+            sender = self.connect(address, head_by).await?;
         }
         Err(CallError::unsent(
             CallStep::Send,
@@ -100,10 +110,28 @@
         body: Bytes,
         deadline: Instant,
     ) -> Result<HttpReply, CallError> {
-        let request = Request::builder()
+        self.exchange_with(address, method, path, &[], body, deadline)
+            .await
+    }
+
+    /// Sends a small request with `headers` and reads the whole answer by `deadline`.
+    pub async fn exchange_with(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<HttpReply, CallError> {
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header("host", address.to_string())
+            .header("host", address.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
             .body(Full::new(body))
             .map_err(|error| CallError::unsent(CallStep::Send, address, error))?;
         let response = self.send(address, request, false, deadline).await?;
@@ -167,6 +195,28 @@
         }
     }
 
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<SendRequest<Full<Bytes>>, CallError> {
+        let deadline = deadline.min(Instant::now() + Duration::from_millis(self.connect_ms));
+        let stream = by_deadline(deadline, TcpStream::connect(address))
+            .await
+            .ok_or_else(|| CallError::unsent(CallStep::Connect, address, "deadline passed"))?
+            .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+        set_liveness_options(&stream)
+            .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+        runtime::spawn(async move {
+            // The sender sees every error of the connection as well.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
         let now = Instant::now();
         let mut idle = self.idle.lock().expect("pool lock");
@@ -194,28 +244,6 @@
     unsent: Option<Request<Full<Bytes>>>,
 }
 
-async fn connect(
-    address: SocketAddr,
-    deadline: Instant,
-) -> Result<SendRequest<Full<Bytes>>, CallError> {
-    let deadline = deadline.min(Instant::now() + CONNECT_LIMIT);
-    let stream = by_deadline(deadline, TcpStream::connect(address))
-        .await
-        .ok_or_else(|| CallError::unsent(CallStep::Connect, address, "deadline passed"))?
-        .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
-    let (sender, connection) = http1::handshake(FuturesIo::new(stream))
-        .await
-        .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
-    runtime::spawn(async move {
-        // The sender sees every error of the connection as well.
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
-
 /// Waits for `future` until `deadline`; returns nothing when that passes first.
 async fn by_deadline<T>(deadline: Instant, future: impl Future<Output = T>) -> Option<T> {
     let timer = async {
--- a/node/src/http/http_server.rs
+++ b/node/src/http/http_server.rs
@@ -16,17 +16,14 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
+use spdlog::debug;
 
 use super::HttpHandler;
+use super::ServerLimits;
+use super::set_liveness_options;
 use crate::runtime;
 use crate::runtime::StopSignal;
 
-/// Time within which a caller must have sent the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(10);
-/// Headers that a request may have.
-const MAX_HEADERS: usize = 64;
-/// Bytes that the head of a request may have.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -35,6 +32,7 @@
     listener: TcpListener,
     handler: Arc<dyn HttpHandler>,
     open: Arc<AtomicUsize>,
+    limits: ServerLimits,
 }
 
 impl HttpServer {
@@ -44,9 +42,16 @@
             listener,
             handler,
             open: Arc::default(),
+            limits: ServerLimits::default(),
         }
     }
 
+    /// Sets what callers may send.
+    pub fn with_limits(mut self, limits: ServerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Returns a counter of the connections that are open.
     pub fn open_connections(&self) -> Arc<AtomicUsize> {
         Arc::clone(&self.open)
@@ -73,18 +78,21 @@
     fn serve(&self, stream: TcpStream, stop: StopSignal) {
         let handler = Arc::clone(&self.handler);
         let open = OpenConnection::count(&self.open);
+        let limits = self.limits;
         runtime::spawn(async move {
             let _open = open;
-            let _ = stream.set_nodelay(true);
+            if let Err(error) = set_liveness_options(&stream) {
+                debug!("socket options of a caller's connection: {error}");
+            }
             let service = service_fn(move |request: Request<Incoming>| {
                 let handler = Arc::clone(&handler);
                 async move { Ok::<_, Infallible>(handler.handle(request).await) }
             });
             let connection = http1::Builder::new()
                 .timer(SmolTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
-                .max_headers(MAX_HEADERS)
-                .max_buf_size(MAX_HEAD_BYTES)
+                .header_read_timeout(Duration::from_millis(limits.head_ms))
+                .max_headers(limits.headers)
+                .max_buf_size(limits.head_bytes)
                 .serve_connection(FuturesIo::new(stream), service);
             let mut connection = pin!(connection);
             let ended = async {
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -1,12 +1,16 @@
 //! HTTP over the runtime: a server for handlers and a pool of connections.
 
+mod connection_headers;
 mod http_handler;
 mod http_pool;
 mod http_reply;
 mod http_server;
 mod pooled_body;
 mod reply_body;
+mod server_limits;
+mod socket_options;
 
+pub use connection_headers::remove_connection_headers;
 pub use http_handler::HttpHandler;
 pub use http_pool::HttpPool;
 pub use http_reply::HttpReply;
@@ -15,3 +19,5 @@
 pub use reply_body::BodyError;
 pub use reply_body::ReplyBody;
 pub use reply_body::full_body;
+pub use server_limits::ServerLimits;
+pub use socket_options::set_liveness_options;
--- a/node/src/peer/peer_socket.rs
+++ b/node/src/peer/peer_socket.rs
@@ -81,6 +81,11 @@
         self.send(peer, exchange, message).await;
     }
 
+    /// Tells `peer` something to which no answer is expected.
+    pub async fn tell(&self, peer: SocketAddr, message: PeerMessage) {
+        self.send(peer, 0, message).await;
+    }
+
     /// Receives frames for ever and hands questions to `handler`.
     pub async fn run(self: Arc<Self>, handler: Arc<dyn PeerHandler>) {
         let mut buffer = vec![0; MAX_FRAME_BYTES];
--- /dev/null
+++ b/node/src/runtime/decision_log.rs
@@ -0,0 +1,84 @@
+//! Structured log lines, one for each decision.
+
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde_json::Value;
+use spdlog::info;
+use strum::EnumCount;
+
+use super::LogKind;
+
+/// Window in which lines of a kind are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Writes one JSON object a line, a bounded number of each kind in a second.
+///
+/// The next line of a kind tells how many were left out. Lines go through the
+/// logger's queue, which drops them rather than let the caller wait.
+pub struct DecisionLog {
+    started: Instant,
+    rates: Mutex<Vec<LineRate>>,
+}
+
+#[derive(Clone, Debug)]
+struct LineRate {
+    window_ends: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+impl Default for DecisionLog {
+    fn default() -> Self {
+        let now = Instant::now();
+        let rate = LineRate {
+            window_ends: now,
+            written: 0,
+            left_out: 0,
+        };
+        Self {
+            started: now,
+            rates: Mutex::new(vec![rate; LogKind::COUNT]),
+        }
+    }
+}
+
+impl DecisionLog {
+    /// Writes a line with `fields`, a JSON object.
+    pub fn write(&self, kind: LogKind, mut fields: Value) {
+        let Some(left_out) = self.admit(kind) else {
+            return;
+        };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let unix_ms = unix.map_or(0, |since| since.as_millis() as u64);
+        if let Value::Object(map) = &mut fields {
+            if left_out > 0 {
+                map.insert("left_out".to_owned(), left_out.into());
+            }
+            map.insert("up_ms".to_owned(), (self.started.elapsed().as_millis() as u64).into());
+            map.insert("unix_ms".to_owned(), unix_ms.into());
+            map.insert("kind".to_owned(), kind.to_string().into());
+        }
+        info!("{fields}");
+    }
+
+    /// Returns the number of lines left out before this one, or nothing when it is too many.
+    fn admit(&self, kind: LogKind) -> Option<u64> {
+        let now = Instant::now();
+        let mut rates = self.rates.lock().expect("log rates lock");
+        let rate = rates.get_mut(kind as usize)?;
+        if now >= rate.window_ends {
+            rate.window_ends = now + RATE_WINDOW;
+            rate.written = 0;
+        }
+        if rate.written >= kind.lines_per_second() {
+            rate.left_out += 1;
+            return None;
+        }
+        rate.written += 1;
+        Some(std::mem::take(&mut rate.left_out))
+    }
+}
--- a/node/src/runtime/log_setup.rs
+++ b/node/src/runtime/log_setup.rs
@@ -5,6 +5,11 @@
 use spdlog::Level;
 use spdlog::LevelFilter;
 use spdlog::Logger;
+use spdlog::ThreadPool;
+use spdlog::formatter::PatternFormatter;
+use spdlog::formatter::pattern;
+use spdlog::sink::AsyncPoolSink;
+use spdlog::sink::OverflowPolicy;
 use spdlog::sink::StdStream;
 use spdlog::sink::StdStreamSink;
 
@@ -42,3 +47,38 @@
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// Lines that may wait to be written; more are dropped.
+const QUEUED_LINES: usize = 4_096;
+
+/// Sends bare lines to standard output from a thread of its own, so that a reader
+/// that falls behind never holds up a request.
+pub fn set_up_decision_log() -> Result<(), LogError> {
+    let fail = |message: String| LogError {
+        level: "info".to_owned(),
+        message,
+    };
+    let formatter = PatternFormatter::new(pattern!("{payload}{eol}"));
+    let sink = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(formatter)
+        .build()
+        .map_err(|error| fail(error.to_string()))?;
+    let pool = ThreadPool::builder()
+        .capacity(QUEUED_LINES.try_into().expect("a capacity above zero"))
+        .build()
+        .map_err(|error| fail(error.to_string()))?;
+    let queue = AsyncPoolSink::builder()
+        .sink(Arc::new(sink))
+        .thread_pool(Arc::new(pool))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build()
+        .map_err(|error| fail(error.to_string()))?;
+    let logger = Logger::builder()
+        .sink(Arc::new(queue))
+        .level_filter(LevelFilter::MoreSevereEqual(Level::Info))
+        .build()
+        .map_err(|error| fail(error.to_string()))?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
