silence: probe a lost group once, tell peers once

Cause: each router that was told of a lost group probed it, found it lost and told all others again, so messages and probes multiplied until connections ran out. Ruled out: too short a probe limit (probes of live members answered in time). Change: a group with a member known to be lost is not probed; only the router whose own streams fell silent tells its peers.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -13,6 +13,7 @@
 
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::ServingTarget;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::RouterId;
 use jujuberoad_node::http::HttpPool;
@@ -79,6 +80,14 @@
         self.lost.lock().expect("lost lock").remove(endpoint);
     }
 
+    /// Tells whether a member of a target does not answer.
+    pub(crate) fn has_lost_member(&self, target: &ServingTarget) -> bool {
+        let now = Instant::now();
+        let lost = self.lost.lock().expect("lost lock");
+        let mut ids = target.members.iter().map(|(id, _)| id);
+        ids.any(|id| lost.get(id).is_some_and(|until| now < *until))
+    }
+
     /// Returns the endpoints that do not answer.
     pub(crate) fn lost_endpoints(&self) -> BTreeSet<EndpointId> {
         let now = Instant::now();
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway_core::GatewayCore;
 use crate::silence_loop;
+use crate::silence_loop::ProbeCause;
 
 /// Pause between two digests with few peers.
 const DIGEST_PACE: Duration = Duration::from_millis(50);
@@ -81,7 +82,7 @@
                 };
                 let core = Arc::clone(&self.core);
                 runtime::spawn(async move {
-                    silence_loop::examine(&core, target, "told by a peer").await;
+                    silence_loop::examine(&core, target, ProbeCause::Peer).await;
                 });
             }
             _ => {}
--- a/gateway/src/silence_loop.rs
+++ b/gateway/src/silence_loop.rs
@@ -23,6 +23,16 @@
 /// Time for a probe; a member that lives answers within a round trip of 3 ms.
 const PROBE_LIMIT: Duration = Duration::from_millis(60);
 
+/// Why a group is probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ProbeCause {
+    /// Streams of this router have had no event.
+    Silence,
+    /// A peer has found it lost.
+    Peer,
+}
+
 /// Looks for ever.
 pub(crate) fn start(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
@@ -30,14 +40,21 @@
             Timer::after(LOOK_PACE).await;
             for target in core.stalls.due_probes(Instant::now()) {
                 let core = Arc::clone(&core);
-                runtime::spawn(async move { examine(&core, target, "silence").await });
+                runtime::spawn(async move { examine(&core, target, ProbeCause::Silence).await });
             }
         }
     });
 }
 
 /// Probes all members of a group and gives it up if one does not answer.
-pub(crate) async fn examine(core: &GatewayCore, target: ServingTarget, cause: &str) {
+///
+/// A group that is known to be lost is not probed again, and only the router that
+/// finds it lost by its own streams tells the others.
+pub(crate) async fn examine(core: &GatewayCore, target: ServingTarget, cause: ProbeCause) {
+    if core.has_lost_member(&target) {
+        core.stalls.give_up(&target.endpoint);
+        return;
+    }
     let lost = find_lost_member(core, &target).await;
     let Some((member, reason)) = lost else {
         core.stalls.clear(&target.endpoint);
@@ -49,7 +66,7 @@
     core.metrics.stalls.inc();
     let streams = core.stalls.give_up(&target.endpoint);
     log_verdict(core, &target, cause, "lost", Some((&member, &reason, streams)));
-    if let Some(group) = target.group {
+    if let Some(group) = target.group && cause == ProbeCause::Silence {
         let message = PeerMessage::Silent {
             endpoint: target.endpoint,
             group,
@@ -104,7 +121,7 @@
 fn log_verdict(
     core: &GatewayCore,
     target: &ServingTarget,
-    cause: &str,
+    cause: ProbeCause,
     verdict: &str,
     lost: Option<(&EndpointId, &str, usize)>,
 ) {
@@ -113,7 +130,7 @@
         json!({
             "group": target.group.as_ref().map(ToString::to_string),
             "endpoint": target.endpoint,
-            "cause": cause,
+            "cause": cause.to_string(),
             "verdict": verdict,
             "lost": lost.map(|(member, _, _)| member),
             "reason": lost.map(|(_, reason, _)| reason),
