placement: survivors leave a broken group before they join another

Ruled out: late orders (the joins were accepted at once), a second holder of the lock (one process, one fence). Change: the planner of a fence is kept while the process lives, and no epoch is used that any group bears. Survivors of a broken group are told to leave it and are then free at once, instead of waiting until a lost head has certainly given up. A VM that does not accept a connection counts as lost, and unanswered orders are repeated after 200 ms. One line a second tells what a router believes.

--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -44,6 +44,7 @@
 use crate::silence_loop;
 use crate::slot_queue::SlotQueue;
 use crate::stall_board::StallBoard;
+use crate::state_log;
 use crate::store_watch;
 use crate::store_watch::OperatorSink;
 use crate::store_watch::RegistrySink;
@@ -182,6 +183,7 @@
     placer_loop::start(Arc::clone(core));
     silence_loop::start(Arc::clone(core));
     peer_exchange::start(Arc::clone(core));
+    state_log::start(Arc::clone(core));
 }
 
 /// Waits for SIGTERM or SIGINT; SIGHUP is noted, as all settings bind at start.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod silence_loop;
 mod slot_queue;
 mod stall_board;
+mod state_log;
 mod store_watch;
 mod stream_call;
 mod stream_relay;
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -23,7 +23,7 @@
 /// Pause between two planning rounds.
 const PLAN_PACE: Duration = Duration::from_millis(40);
 /// Time for an order; engines answer within milliseconds.
-const ORDER_LIMIT: Duration = Duration::from_millis(400);
+const ORDER_LIMIT: Duration = Duration::from_millis(250);
 
 /// The planner of the current term.
 type SharedPlanner = Arc<Mutex<ReplicaPlanner>>;
@@ -35,16 +35,18 @@
         loop {
             Timer::after(PLAN_PACE).await;
             let right = core.session.placer_right();
-            core.is_placer.store(right.is_some(), Ordering::Relaxed);
+            let was_active = core.is_placer.swap(right.is_some(), Ordering::Relaxed);
             let Some(right) = right else {
-                if let Some((fence, _)) = term.take() {
-                    core.log.write(LogKind::Lease, json!({"placer": false, "fence": fence}));
+                if was_active {
+                    core.log.write(LogKind::Lease, json!({"placer": false}));
                 }
                 continue;
             };
+            // A lease may lapse here and hold again under the same fence; the
+            // planner that numbered groups under that fence is kept.
             let is_same = term.as_ref().is_some_and(|(fence, _)| *fence == right.fence);
             if !is_same {
-                let planner = ReplicaPlanner::new(right.fence, core.settings.stall_ms);
+                let planner = ReplicaPlanner::new(right.fence);
                 term = Some((right.fence, Arc::new(Mutex::new(planner))));
             }
             let Some((fence, planner)) = &term else {
@@ -96,7 +98,14 @@
     let deadline = Instant::now() + ORDER_LIMIT;
     let (answer, detail) = match core.parts.control.order(&order, fence, deadline).await {
         Ok(answer) => (answer, None),
-        Err(error) => (OrderAnswer::Unanswered, Some(error.to_string())),
+        Err(error) => {
+            // Nothing listens there: a VM that is gone holds up every group that
+            // counts on it until its entry lapses.
+            if !error.was_sent {
+                core.mark_lost(&order.endpoint);
+            }
+            (OrderAnswer::Unanswered, Some(error.to_string()))
+        }
     };
     core.metrics.note_call(order.order.name(), &answer.to_string());
     if answer == OrderAnswer::Fenced {
--- /dev/null
+++ b/gateway/src/state_log.rs
@@ -0,0 +1,70 @@
+//! One line a second on what this router believes and has under way.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use jujuberoad_node::runtime;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
+use smol::Timer;
+
+use crate::gateway_core::GatewayCore;
+
+/// Pause between two lines.
+const STATE_PACE: Duration = Duration::from_secs(1);
+
+/// Writes for ever.
+pub(crate) fn start(core: Arc<GatewayCore>) {
+    runtime::spawn(async move {
+        loop {
+            Timer::after(STATE_PACE).await;
+            write_line(&core);
+        }
+    });
+}
+
+fn write_line(core: &GatewayCore) {
+    let view = core.board.view();
+    let mut serving: BTreeMap<String, usize> = BTreeMap::new();
+    let mut groups: BTreeMap<String, usize> = BTreeMap::new();
+    for summary in view.groups.groups.values() {
+        let state = summary.head_state();
+        let state = state.map_or("headless".to_owned(), |state| state.to_string());
+        *groups.entry(format!("{} {state}", summary.model)).or_default() += 1;
+        if summary.is_serving() {
+            *serving.entry(summary.model.to_string()).or_default() += 1;
+        }
+    }
+    let mut in_groups = 0;
+    let mut staged: BTreeMap<String, usize> = BTreeMap::new();
+    let table = core.board.table();
+    for record in table.iter() {
+        in_groups += usize::from(record.membership.is_some());
+        if let (None, Some(model)) = (&record.membership, record.staged.first()) {
+            *staged.entry(model.to_string()).or_default() += 1;
+        }
+    }
+    let loads = core.loads.lock().expect("load lock");
+    let own: u32 = loads.own().map(|(_, load)| load.requests).sum();
+    let peers = loads.peer_count();
+    drop(loads);
+    let age = view.registry_seen_at.map(|at| at.elapsed().as_millis() as u64);
+    core.log.write(
+        LogKind::State,
+        json!({
+            "serving": serving,
+            "groups": groups,
+            "endpoints": table.len(),
+            "in_groups": in_groups,
+            "free_staged": staged,
+            "lost": core.lost_endpoints().len(),
+            "own_requests": own,
+            "waiting": core.queue.len(),
+            "peers": peers,
+            "registry_age_ms": age,
+            "placer": core.is_placer.load(Ordering::Relaxed),
+        }),
+    );
+}
--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -24,7 +24,6 @@
 use crate::ids::EndpointId;
 use crate::ids::Epoch;
 use crate::ids::Fence;
-use crate::ids::Milliseconds;
 use crate::ids::ModelId;
 use crate::serving::EngineProfile;
 use crate::serving::ModelProfile;
@@ -33,11 +32,9 @@
 /// Time after which an order whose effect does not show is sent again: a write
 /// of the registry, a watch and a planning round fit in it.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
-/// Time after which an order that does not fit yet is sent again.
-const CONFLICT_RETRY: Duration = Duration::from_millis(200);
-/// Time added to the stall limit before members of a lost head are used again,
-/// for the lag of the registry.
-const STALL_MARGIN: Duration = Duration::from_millis(400);
+/// Time after which an order that does not fit yet, or was not answered, is sent
+/// again; a full write and watch of the registry take about as long.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 /// Loads may take this many times their nominal time before they count as lost.
 const LOAD_PATIENCE: u64 = 4;
 /// Groups that one fence may number.
@@ -62,12 +59,12 @@
 /// Decides which orders engines get.
 #[derive(Clone, Debug)]
 pub struct ReplicaPlanner {
-    stall_ms: Milliseconds,
     next_epoch: Epoch,
     formations: BTreeMap<GroupKey, Formation>,
     retry_at: BTreeMap<(EndpointId, &'static str), Instant>,
     loading: BTreeMap<EndpointId, Loading>,
-    heads_lost: BTreeMap<GroupKey, Instant>,
+    /// Members that have left a group which the registry still shows them in.
+    left: BTreeMap<EndpointId, GroupKey>,
 }
 
 #[derive(Clone, Debug)]
@@ -89,15 +86,14 @@
 }
 
 impl ReplicaPlanner {
-    /// Starts a term with `fence`; a head that lost a member gives up after `stall_ms`.
-    pub fn new(fence: Fence, stall_ms: Milliseconds) -> Self {
+    /// Starts a term with `fence`.
+    pub fn new(fence: Fence) -> Self {
         Self {
-            stall_ms,
             next_epoch: fence * EPOCHS_PER_FENCE + 1,
             formations: BTreeMap::new(),
             retry_at: BTreeMap::new(),
             loading: BTreeMap::new(),
-            heads_lost: BTreeMap::new(),
+            left: BTreeMap::new(),
         }
     }
 
@@ -131,8 +127,12 @@
 
     /// Takes the answer to an order.
     pub fn observe_answer(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
+        let has_left = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
+        if let ReplicaOrder::Leave { key } = &order.order && has_left {
+            self.left.insert(order.endpoint.clone(), key.clone());
+        }
         let pause = match answer {
-            OrderAnswer::Conflict => CONFLICT_RETRY,
+            OrderAnswer::Conflict | OrderAnswer::Unanswered => REPEAT_PAUSE,
             _ => ORDER_RETRY,
         };
         let key = (order.endpoint.clone(), order.order.name());
@@ -154,7 +154,14 @@
             now < loading.give_up_at && !record.has_staged(&loading.model)
         });
         let groups = &input.groups.groups;
-        self.heads_lost.retain(|key, _| groups.contains_key(key));
+        self.left.retain(|id, key| {
+            let record = input.table.get(id);
+            let shown = record.and_then(|record| record.membership.as_ref());
+            shown.is_some_and(|membership| membership.key == *key)
+        });
+        // No key is ever used twice, whoever numbered the groups that are there.
+        let newest = groups.keys().map(|key| key.epoch).max().unwrap_or(0);
+        self.next_epoch = self.next_epoch.max(newest + 1);
     }
 
     /// Tends all groups of a service; returns the VMs that are not free.
@@ -169,9 +176,7 @@
             if summary.service != service || self.formations.contains_key(&summary.key) {
                 continue;
             }
-            if self.tend_group(summary, input, orders) {
-                held.extend(summary.members.iter().map(|(_, id, _)| id.clone()));
-            }
+            held.extend(self.tend_group(summary, input, orders));
         }
         let keys: Vec<GroupKey> = self.formations.keys().cloned().collect();
         for key in keys {
@@ -180,55 +185,74 @@
         held
     }
 
-    /// Tends a group that is not being formed; tells whether its members are bound.
+    /// Tends a group that is not being formed; returns the members that it binds.
     fn tend_group(
         &mut self,
         summary: &GroupSummary,
         input: &PlannerInput<'_>,
         orders: &mut Vec<PlannedOrder>,
-    ) -> bool {
-        let has_lost = summary
-            .members
-            .iter()
-            .any(|(_, id, _)| input.lost.contains(id));
-        let is_sound = summary.is_whole() && !summary.is_draining && !has_lost;
-        let head = summary.head().filter(|id| !input.lost.contains(*id));
-        let Some(head) = head else {
-            return !self.is_head_over(summary, input.now);
-        };
+    ) -> Vec<EndpointId> {
+        let members = || summary.members.iter().map(|(_, id, _)| id.clone());
+        let has_lost = members().any(|id| input.lost.contains(&id));
+        let is_whole = summary.is_whole() && !has_lost;
         match summary.head_state() {
-            Some(MemberState::Open) if is_sound => true,
-            Some(MemberState::Ready | MemberState::Joining) if is_sound => {
+            Some(MemberState::Open) if is_whole && !summary.is_draining => members().collect(),
+            Some(MemberState::Ready | MemberState::Joining)
+                if is_whole && !summary.is_draining =>
+            {
                 let formation = Formation {
                     model: summary.model.clone(),
-                    members: summary.members.iter().map(|member| member.1.clone()).collect(),
+                    members: members().collect(),
                 };
                 self.formations.insert(summary.key.clone(), formation);
-                true
+                members().collect()
             }
-            Some(MemberState::Open | MemberState::Closing) => {
-                let key = summary.key.clone();
-                let is_leaving = summary.is_draining && summary.is_whole() && !has_lost;
-                let (order, reason) = if is_leaving {
-                    let is_abrupt = false;
-                    (ReplicaOrder::Close { key, is_abrupt }, "a member is leaving")
-                } else {
-                    (ReplicaOrder::Leave { key }, "a member is lost")
-                };
-                let is_closing = summary.head_state() == Some(MemberState::Closing);
-                if !(is_leaving && is_closing) {
-                    self.push(head, order, reason, input, orders);
-                }
-                true
+            Some(MemberState::Open) if is_whole => {
+                self.close_gently(summary, input, orders);
+                members().collect()
             }
-            _ => false,
+            Some(MemberState::Closing) if is_whole => members().collect(),
+            _ => self.dissolve(summary, input, orders),
         }
     }
 
-    /// Tells whether a head that cannot be asked has given up by now.
-    fn is_head_over(&mut self, summary: &GroupSummary, now: Instant) -> bool {
-        let lost_at = *self.heads_lost.entry(summary.key.clone()).or_insert(now);
-        now >= lost_at + Duration::from_millis(self.stall_ms) + STALL_MARGIN
+    /// Lets a group whose member is about to leave finish what it has.
+    fn close_gently(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let Some(head) = summary.head() else {
+            return;
+        };
+        let order = ReplicaOrder::Close {
+            key: summary.key.clone(),
+            is_abrupt: false,
+        };
+        self.push(head, order, "a member is leaving", input, orders);
+    }
+
+    /// Has what is left of a broken group leave it; returns those that have not yet.
+    ///
+    /// A member that has left may join another group at once, whatever its old
+    /// head does: a head that cannot be reached may still be open.
+    fn dissolve(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> Vec<EndpointId> {
+        let mut bound = Vec::new();
+        for (_, id, _) in &summary.members {
+            if self.left.get(id) == Some(&summary.key) || input.lost.contains(id) {
+                continue;
+            }
+            bound.push(id.clone());
+            let key = summary.key.clone();
+            self.push(id, ReplicaOrder::Leave { key }, "a member is lost", input, orders);
+        }
+        bound
     }
 
     /// Tends a group that is being formed; returns the VMs that it binds.
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -32,6 +32,8 @@
     Lease,
     /// An order was given to an engine.
     Order,
+    /// What a process believes and has under way, once a second.
+    State,
     /// A request was answered.
     Answered,
     /// A request ended without an answer of an endpoint.
