placement: the placer looks at an engine before it has it join

Cause: the registry's counter of an entry counts writes of the entry, not orders; as the condition of an order it was never met. Ruled out: stale reports (the reported count was right, the registry's was not). Change: a join is preceded by a look at the engine. It is sent only if the engine is in no other group, and carries the engine's own count of orders, so that a join that is carried out late is refused. Conclusion: the promise no longer rests on a fresh registry.

--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -13,6 +13,7 @@
 use jujuberoad::fleet::ReplicaPlanner;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::Fence;
+use jujuberoad_node::backends::CallError;
 use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
@@ -96,7 +97,7 @@
         return;
     }
     let deadline = Instant::now() + ORDER_LIMIT;
-    let (answer, detail) = match core.parts.control.order(&order, fence, deadline).await {
+    let (answer, detail) = match send_order(core, fence, &order, deadline).await {
         Ok(answer) => (answer, None),
         Err(error) => {
             // Nothing listens there: a VM that is gone holds up every group that
@@ -108,9 +109,6 @@
         }
     };
     core.metrics.note_call(order.order.name(), &answer.to_string());
-    if answer == OrderAnswer::Conflict {
-        refresh(core, &order, deadline).await;
-    }
     if answer == OrderAnswer::Fenced {
         core.session.end_term(fence);
     }
@@ -132,17 +130,24 @@
     );
 }
 
-/// Asks an engine that refused an order for its state, which may be newer than the
-/// registry shows.
-async fn refresh(core: &GatewayCore, order: &PlannedOrder, deadline: Instant) {
-    core.metrics.probes.inc();
-    match core.parts.control.probe(order.address, deadline).await {
-        Ok(report) => {
-            core.board.apply_report(&order.endpoint, report);
+/// Sends an order, after a look at the engine where the order needs one.
+async fn send_order(
+    core: &GatewayCore,
+    fence: Fence,
+    order: &PlannedOrder,
+    deadline: Instant,
+) -> Result<OrderAnswer, CallError> {
+    let mut expected_sequence = None;
+    if order.needs_report() {
+        core.metrics.probes.inc();
+        let report = core.parts.control.probe(order.address, deadline).await?;
+        expected_sequence = Some(report.sequence);
+        let is_fitting = order.fits(&report);
+        core.board.apply_report(&order.endpoint, report);
+        if !is_fitting {
+            return Ok(OrderAnswer::Conflict);
         }
-        Err(error) => core.log.write(
-            LogKind::Order,
-            json!({"endpoint": order.endpoint, "refresh": "failed", "reason": error.to_string()}),
-        ),
     }
+    let control = &core.parts.control;
+    control.order(order, fence, expected_sequence, deadline).await
 }
--- a/lib/src/fleet/endpoint_record.rs
+++ b/lib/src/fleet/endpoint_record.rs
@@ -41,8 +41,6 @@
     pub model: Option<ModelId>,
     /// Models whose weights lie on its host.
     pub staged: Vec<ModelId>,
-    /// Orders that it has begun since its start, as far as is known.
-    pub sequence: u64,
     /// Version of its software.
     pub version: SmolStr,
 }
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -67,23 +67,20 @@
 
     /// Takes what an endpoint said when it was asked; tells whether that is news.
     ///
-    /// A report of another life, or one older than the entry, is passed over.
+    /// A report of another life is passed over.
     pub fn apply_report(&mut self, id: &str, report: EngineReport) -> bool {
         let Some(record) = self.records.get_mut(id) else {
             return false;
         };
-        let is_current = record.incarnation == report.incarnation
-            && record.sequence <= report.sequence;
-        let is_news = record.membership != report.membership
-            || record.staged != report.staged
-            || record.sequence != report.sequence;
+        let is_current = record.incarnation == report.incarnation;
+        let is_news =
+            record.membership != report.membership || record.staged != report.staged;
         if !is_current || !is_news {
             return false;
         }
         record.membership = report.membership;
         record.model = report.model;
         record.staged = report.staged;
-        record.sequence = report.sequence;
         true
     }
 
--- a/lib/src/fleet/planned_order.rs
+++ b/lib/src/fleet/planned_order.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::EngineReport;
 use super::ReplicaOrder;
 use crate::ids::EndpointId;
 
@@ -14,8 +15,25 @@
     pub address: SocketAddr,
     /// The order.
     pub order: ReplicaOrder,
-    /// Orders that the engine must have begun before; it refuses any other state.
-    pub expected_sequence: Option<u64>,
     /// Why it is sent, for the log.
     pub reason: &'static str,
 }
+
+impl PlannedOrder {
+    /// Tells whether the engine must be asked for its state before the order is sent.
+    ///
+    /// A join replaces whatever group an engine is in, so it must not rest on the
+    /// registry alone, which lags.
+    pub fn needs_report(&self) -> bool {
+        matches!(self.order, ReplicaOrder::Join { .. })
+    }
+
+    /// Tells whether the order fits what the engine reports of itself.
+    pub fn fits(&self, report: &EngineReport) -> bool {
+        let ReplicaOrder::Join { key, .. } = &self.order else {
+            return true;
+        };
+        let joined = report.membership.as_ref();
+        joined.is_none_or(|joined| joined.key == *key)
+    }
+}
--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -63,7 +63,7 @@
     retry_at: BTreeMap<(EndpointId, &'static str), Instant>,
     loading: BTreeMap<EndpointId, Loading>,
     /// Members that have left a group which the registry still shows them in.
-    left: BTreeMap<EndpointId, LeftGroup>,
+    left: BTreeMap<EndpointId, GroupKey>,
 }
 
 #[derive(Clone, Debug)]
@@ -72,13 +72,6 @@
     members: Vec<EndpointId>,
 }
 
-/// A group that a member has left, and the orders that it has begun since.
-#[derive(Clone, Debug)]
-struct LeftGroup {
-    key: GroupKey,
-    sequence: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Loading {
     model: ModelId,
@@ -135,12 +128,7 @@
     pub fn observe_answer(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
         let has_left = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
         if let ReplicaOrder::Leave { key } = &order.order && has_left {
-            let begun = u64::from(answer == OrderAnswer::Accepted);
-            let left = LeftGroup {
-                key: key.clone(),
-                sequence: order.expected_sequence.unwrap_or(0) + begun,
-            };
-            self.left.insert(order.endpoint.clone(), left);
+            self.left.insert(order.endpoint.clone(), key.clone());
         }
         let pause = match answer {
             OrderAnswer::Conflict | OrderAnswer::Unanswered => REPEAT_PAUSE,
@@ -165,10 +153,10 @@
             now < loading.give_up_at && !record.has_staged(&loading.model)
         });
         let groups = &input.groups.groups;
-        self.left.retain(|id, left| {
+        self.left.retain(|id, key| {
             let record = input.table.get(id);
             let shown = record.and_then(|record| record.membership.as_ref());
-            shown.is_some_and(|membership| membership.key == left.key)
+            shown.is_some_and(|membership| membership.key == *key)
         });
         // No key is ever used twice, whoever numbered the groups that are there.
         let newest = groups.keys().map(|key| key.epoch).max().unwrap_or(0);
@@ -256,8 +244,7 @@
     ) -> Vec<EndpointId> {
         let mut bound = Vec::new();
         for (_, id, _) in &summary.members {
-            let left = self.left.get(id);
-            if left.is_some_and(|left| left.key == summary.key) || input.lost.contains(id) {
+            if self.left.get(id) == Some(&summary.key) || input.lost.contains(id) {
                 continue;
             }
             bound.push(id.clone());
@@ -278,7 +265,7 @@
         let Some(membership) = &record.membership else {
             return true;
         };
-        if self.left.get(&record.id).is_some_and(|left| left.key == membership.key) {
+        if self.left.get(&record.id) == Some(&membership.key) {
             return true;
         }
         if !input.groups.groups.contains_key(&membership.key) {
@@ -338,8 +325,7 @@
         let Some(membership) = &record.membership else {
             return true;
         };
-        let left = self.left.get(&record.id);
-        membership.key == *key || left.is_some_and(|left| left.key == membership.key)
+        membership.key == *key || self.left.get(&record.id) == Some(&membership.key)
     }
 
     /// Forms groups from free VMs that hold the same model in one domain.
@@ -483,18 +469,6 @@
         })
     }
 
-    /// Returns the state in which an engine must be for an order to fit.
-    ///
-    /// A join is decided from what the registry shows; an engine that has begun
-    /// another order since, or carries the join out late, refuses it.
-    fn expected_sequence(&self, record: &EndpointRecord, order: &ReplicaOrder) -> Option<u64> {
-        if !matches!(order, ReplicaOrder::Join { .. } | ReplicaOrder::Leave { .. }) {
-            return None;
-        }
-        let left = self.left.get(&record.id);
-        Some(left.map_or(record.sequence, |left| left.sequence.max(record.sequence)))
-    }
-
     /// Adds an order unless the same one is under way.
     fn push(
         &mut self,
@@ -516,7 +490,6 @@
         orders.push(PlannedOrder {
             endpoint: id.clone(),
             address: record.address,
-            expected_sequence: self.expected_sequence(record, &order),
             order,
             reason,
         });
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -15,6 +15,7 @@
 use jujuberoad::fleet::EndpointRecord;
 use jujuberoad::fleet::EndpointState;
 use jujuberoad::fleet::EndpointTable;
+use jujuberoad::fleet::EngineReport;
 use jujuberoad::fleet::GroupIndex;
 use jujuberoad::fleet::GroupKey;
 use jujuberoad::fleet::GroupMembership;
@@ -119,7 +120,7 @@
     planner: ReplicaPlanner,
     next_vm: usize,
     snapshots: VecDeque<(u64, EndpointTable)>,
-    late_orders: Vec<(u64, PlannedOrder)>,
+    late_orders: Vec<(u64, PlannedOrder, Option<u64>)>,
     loads: VecDeque<u64>,
     served: Vec<f64>,
     samples: usize,
@@ -305,13 +306,9 @@
 
     fn advance(&mut self) {
         let now = self.now_ms;
-        let due: Vec<PlannedOrder> = self
-            .late_orders
-            .extract_if(.., |(at, _)| *at <= now)
-            .map(|(_, order)| order)
-            .collect();
-        for order in due {
-            self.carry_out(&order);
+        let due: Vec<_> = self.late_orders.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, order, expected) in due {
+            self.carry_out(&order, expected);
         }
         for vm in self.vms.values_mut().filter(|vm| vm.is_alive) {
             if let Some((model, at)) = vm.loading.clone()
@@ -370,7 +367,6 @@
                 membership,
                 model: vm.model.clone(),
                 staged: vm.staged.clone(),
-                sequence: vm.sequence,
                 version: "v1".into(),
             });
         }
@@ -404,37 +400,48 @@
         let orders = self.planner.plan(&input);
         for order in orders {
             self.orders_given += 1;
-            let answer = if self.rng.f64() < self.plan.late_share {
-                let at = self.now_ms + self.rng.u64(2_000..12_000);
-                self.late_orders.push((at, order.clone()));
-                OrderAnswer::Unanswered
-            } else {
-                self.carry_out(&order)
-            };
+            let answer = self.give(&order);
             let now = self.instant();
             self.planner.observe_answer(&order, answer, now);
         }
     }
 
+    /// Looks at the engine and sends the order, as the placer does.
+    fn give(&mut self, order: &PlannedOrder) -> OrderAnswer {
+        let vm = self.vms.get(&order.endpoint).filter(|vm| vm.is_alive);
+        let Some(vm) = vm else {
+            return OrderAnswer::Unanswered;
+        };
+        let report = EngineReport {
+            incarnation: 1,
+            membership: vm.membership.clone(),
+            model: vm.model.clone(),
+            staged: vm.staged.clone(),
+            sequence: vm.sequence,
+        };
+        let expected = order.needs_report().then_some(report.sequence);
+        if !order.fits(&report) {
+            return OrderAnswer::Conflict;
+        }
+        if self.rng.f64() < self.plan.late_share {
+            let at = self.now_ms + self.rng.u64(2_000..12_000);
+            self.late_orders.push((at, order.clone(), expected));
+            return OrderAnswer::Unanswered;
+        }
+        self.carry_out(order, expected)
+    }
+
     fn instant(&self) -> Instant {
         self.start + Duration::from_millis(self.now_ms)
     }
 
-    fn carry_out(&mut self, planned: &PlannedOrder) -> OrderAnswer {
+    fn carry_out(&mut self, planned: &PlannedOrder, expected: Option<u64>) -> OrderAnswer {
         let id = planned.endpoint.clone();
         if !self.vms.get(&id).is_some_and(|vm| vm.is_alive) {
             return OrderAnswer::Unanswered;
         }
-        let sequence = self.vms[&id].sequence;
-        let is_known = match &planned.order {
-            // An order that has been carried out already is found to be done.
-            ReplicaOrder::Join { key, .. } => {
-                let joined = self.vms[&id].membership.as_ref();
-                joined.is_some_and(|joined| joined.key == *key)
-            }
-            _ => false,
-        };
-        if !is_known && planned.expected_sequence.is_some_and(|expected| expected != sequence) {
+        let is_refused = expected.is_some_and(|expected| expected != self.vms[&id].sequence);
+        if is_refused {
             return OrderAnswer::Conflict;
         }
         let answer = match &planned.order {
--- a/node/src/backends/replica_control.rs
+++ b/node/src/backends/replica_control.rs
@@ -14,11 +14,13 @@
 /// The control side of engines that form groups.
 #[async_trait]
 pub trait ReplicaControl: Send + Sync {
-    /// Gives an order under `fence`.
+    /// Gives an order under `fence`. An engine that has begun another number of
+    /// orders than `expected_sequence` refuses it as a conflict.
     async fn order(
         &self,
         order: &PlannedOrder,
         fence: Fence,
+        expected_sequence: Option<u64>,
         deadline: Instant,
     ) -> Result<OrderAnswer, CallError>;
 
