placement: load first what lets a group form

Ruled out: other first splits of a domain between models. Change: wishes are ordered by the share of the work that is served and by the members a group lacks.

--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -389,40 +389,77 @@
         self.formations.insert(key, formation);
     }
 
-    /// Chooses models for VMs that hold none and has them loaded.
+    /// Chooses models for VMs that hold none and has them loaded, those first whose
+    /// load lets a group be formed of the model that has fewest groups.
     fn stage_weights(
         &mut self,
         sorting: &Sorting<'_>,
         input: &PlannerInput<'_>,
         orders: &mut Vec<PlannedOrder>,
     ) {
-        let domains = by_domain(&sorting.free);
-        for (domain, records) in domains {
-            for record in records {
-                let is_empty = record.staged.is_empty() && !self.loading.contains_key(&record.id);
-                if !is_empty {
+        let mut wishes = Vec::new();
+        for (domain, records) in by_domain(&sorting.free) {
+            for record in records.iter().copied() {
+                if !record.staged.is_empty() || self.loading.contains_key(&record.id) {
                     continue;
                 }
-                let limit = sorting.engine.parallel_loads.max(1);
-                if input.has_traffic && self.loading.len() >= limit {
-                    return;
-                }
                 let Some(profile) = self.choose_model(&domain, record, sorting.engine, input)
                 else {
                     continue;
                 };
-                let span = Duration::from_millis(profile.load_ms * LOAD_PATIENCE);
-                let loading = Loading {
-                    model: profile.model.clone(),
-                    give_up_at: input.now + span,
-                };
-                self.loading.insert(record.id.clone(), loading);
-                let order = ReplicaOrder::Stage {
-                    model: profile.model.clone(),
-                };
-                self.push(&record.id, order, "the host holds no weights", input, orders);
+                let missing = self.missing_members(&records, profile);
+                let coverage = serving_share(input, profile);
+                wishes.push((missing, coverage, record, profile));
+                if !input.has_traffic {
+                    // Each choice counts for the next ones.
+                    self.begin_load(record, profile, input, orders);
+                }
             }
         }
+        if !input.has_traffic {
+            return;
+        }
+        wishes.sort_by(|left, right| {
+            let by_missing = left.0.cmp(&right.0);
+            left.1.total_cmp(&right.1).then(by_missing)
+        });
+        let limit = sorting.engine.parallel_loads.max(1);
+        for (_, _, record, profile) in wishes {
+            if self.loading.len() >= limit {
+                return;
+            }
+            self.begin_load(record, profile, input, orders);
+        }
+    }
+
+    /// Returns how many members the next group of a model still lacks in a domain.
+    fn missing_members(&self, free: &[&EndpointRecord], profile: &ModelProfile) -> usize {
+        let holds = |record: &&&EndpointRecord| {
+            let loading = self.loading.get(&record.id);
+            record.has_staged(&profile.model)
+                || loading.is_some_and(|loading| loading.model == profile.model)
+        };
+        let held = free.iter().filter(holds).count();
+        profile.size - held % profile.size
+    }
+
+    fn begin_load(
+        &mut self,
+        record: &EndpointRecord,
+        profile: &ModelProfile,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let span = Duration::from_millis(profile.load_ms * LOAD_PATIENCE);
+        let loading = Loading {
+            model: profile.model.clone(),
+            give_up_at: input.now + span,
+        };
+        self.loading.insert(record.id.clone(), loading);
+        let order = ReplicaOrder::Stage {
+            model: profile.model.clone(),
+        };
+        self.push(&record.id, order, "the host holds no weights", input, orders);
     }
 
     /// Chooses the model of an empty VM: the one of its domain, so that what is
@@ -506,6 +543,14 @@
     }
 }
 
+/// Returns the VMs in serving groups of a model against its share of the work.
+fn serving_share(input: &PlannerInput<'_>, profile: &ModelProfile) -> f64 {
+    let groups = input.groups.groups.values();
+    let serving = groups.filter(|group| group.model == profile.model && group.is_serving());
+    let members = serving.count() * profile.size;
+    members as f64 / profile.share.max(0.01)
+}
+
 fn by_domain<'a>(
     records: &[&'a EndpointRecord],
 ) -> BTreeMap<DomainId, Vec<&'a EndpointRecord>> {
