placement: repairs go on while the store is away

Ruled out: a second holder meanwhile; nobody can take the lock from a store that is down, and engines refuse the lower fence once there is a higher one. Change: the holder goes on when its lease may have lapsed but the store answers nobody here, until an engine or a peer shows a higher fence. It sees engines through their reports and tells peers what is new; entries that were not written since do not overrule reports when the registry is back.

--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -38,6 +38,7 @@
 use crate::peer_exchange;
 use crate::placer_loop;
 use crate::readiness_api::ReadinessApi;
+use crate::report_poll;
 use crate::session_keeper;
 use crate::session_keeper::OwnSink;
 use crate::session_keeper::Session;
@@ -164,6 +165,7 @@
         metrics: MetricPage::default(),
         is_stopping: false.into(),
         is_placer: false.into(),
+        is_registry_lost: false.into(),
         has_traffic: false.into(),
     })
 }
@@ -183,6 +185,7 @@
     placer_loop::start(Arc::clone(core));
     silence_loop::start(Arc::clone(core));
     peer_exchange::start(Arc::clone(core));
+    report_poll::start(Arc::clone(core));
     state_log::start(Arc::clone(core));
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod placer_loop;
 mod plain_call;
 mod readiness_api;
+mod report_poll;
 mod session_keeper;
 mod silence_loop;
 mod slot_queue;
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -45,7 +46,8 @@
                 let own = loads.own();
                 own.map(|(endpoint, load)| (endpoint.clone(), *load)).collect()
             };
-            tell_all(&core, PeerMessage::Loads { loads }).await;
+            let placer = core.session.placer_right().map(|right| right.fence);
+            tell_all(&core, PeerMessage::Loads { loads, placer }).await;
         }
     });
 }
@@ -65,11 +67,24 @@
 impl PeerHandler for PeerDesk {
     fn question(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, _from: SocketAddr) {
         match frame.message {
-            PeerMessage::Loads { loads } => {
+            PeerMessage::Loads { loads, placer } => {
+                if let Some(fence) = placer {
+                    self.core.session.observe_peer_fence(fence);
+                }
                 let valid_until = Instant::now() + DIGEST_VALID;
                 let mut table = self.core.loads.lock().expect("load lock");
                 table.observe_peer(frame.sender, loads, valid_until);
             }
+            PeerMessage::Observed { placer, reports } => {
+                self.core.session.observe_peer_fence(placer);
+                // A registry that can be read knows better.
+                if self.core.is_registry_lost.load(Ordering::Relaxed) {
+                    for (endpoint, report) in reports {
+                        self.core.board.apply_report(&endpoint, report);
+                    }
+                    self.core.queue.wake_all();
+                }
+            }
             PeerMessage::Silent { endpoint, .. } => {
                 let target = self.core.stalls.hurry_probe(&endpoint).or_else(|| {
                     let view = self.core.board.view();
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -37,6 +37,8 @@
 const LEASE_MS: Milliseconds = 2_000;
 /// Pause between renewals; three fit in a lease.
 const RENEW_PACE: Duration = Duration::from_millis(600);
+/// Failed calls in a row after which the store counts as away.
+const AWAY_AFTER: u32 = 1;
 /// Time for one call to the store.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 
@@ -56,7 +58,9 @@
     lock: Option<(String, StoreVersion)>,
     has_entry: bool,
     has_read: bool,
-    /// A fence that an engine refused; it is never used again.
+    /// Failed calls in a row; the store is away rather than against us.
+    failures: u32,
+    /// A fence that an engine refused or a peer has overtaken; never used again.
     refused: Option<Fence>,
 }
 
@@ -67,19 +71,33 @@
 }
 
 impl Session {
-    /// Returns the right to give orders, while the lease certainly holds.
+    /// Returns the right to give orders: the lease holds, or it may have lapsed
+    /// while the store answers nobody here and no later holder is known.
+    ///
+    /// Nobody can take the lock from a store that is down. Where only this router is
+    /// cut off from it, the next holder has a higher fence, which engines and peers
+    /// show.
     pub(crate) fn placer_right(&self) -> Option<PlacerRight> {
         let state = self.state.lock().expect("session lock");
         let fence = state.lock_version?;
         let is_valid = state.valid_until.is_some_and(|until| BootInstant::now() < until);
+        let is_store_away = state.failures >= AWAY_AFTER;
         let is_refused = state.refused.is_some_and(|refused| refused >= fence);
-        (is_valid && !is_refused).then_some(PlacerRight { fence })
+        ((is_valid || is_store_away) && !is_refused).then_some(PlacerRight { fence })
     }
 
     /// Ends the term of a fence that an engine has refused.
     pub(crate) fn end_term(&self, fence: Fence) {
         let mut state = self.state.lock().expect("session lock");
-        state.refused = Some(fence);
+        state.refused = state.refused.max(Some(fence));
+    }
+
+    /// Takes the fence of a peer that forms groups; an earlier one here ends.
+    pub(crate) fn observe_peer_fence(&self, fence: Fence) {
+        let own = self.state.lock().expect("session lock").lock_version;
+        if let Some(own) = own && own < fence {
+            self.end_term(own);
+        }
     }
 }
 
@@ -93,6 +111,7 @@
             let result = keep_once(&core).await;
             if let Err(error) = &result {
                 core.metrics.note_call("lease", "failed");
+                core.session.state.lock().expect("session lock").failures += 1;
                 note_failure(&core, error);
             }
             Timer::after(RENEW_PACE).await;
@@ -133,6 +152,7 @@
     {
         let mut state = core.session.state.lock().expect("session lock");
         state.lease = Some(lease);
+        state.failures = 0;
         // Counted from before the call, so it never outlasts the store's count.
         state.valid_until = Some(asked_at.after(Duration::from_millis(ttl_ms)));
     }
@@ -190,6 +210,7 @@
     let mut state = core.session.state.lock().expect("session lock");
     let had_right = state.lock_version.is_some();
     if let StoreError::LeaseLapsed(_) = error {
+        state.failures = 0;
         state.lease = None;
         state.valid_until = None;
         state.lock_version = None;
@@ -280,6 +301,8 @@
         }
     }
 
+    fn note_contact(&self, _core: &GatewayCore, _is_lost: bool) {}
+
     fn pace(&self, _core: &GatewayCore) -> Duration {
         Duration::ZERO
     }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -6,6 +6,7 @@
 //! other.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -52,6 +53,9 @@
     /// Takes changes in order; they are known as of `as_of`.
     fn apply(&self, core: &GatewayCore, events: Vec<StoreEvent>, as_of: StoreVersion);
 
+    /// Takes whether the prefix can be read.
+    fn note_contact(&self, core: &GatewayCore, is_lost: bool);
+
     /// Pause between two watches.
     fn pace(&self, core: &GatewayCore) -> Duration;
 }
@@ -75,6 +79,7 @@
             }
             failures += 1;
             if failures == LOST_AFTER {
+                sink.note_contact(&core, true);
                 core.log.write(
                     LogKind::Dependency,
                     json!({
@@ -109,6 +114,7 @@
         );
     }
     sink.replace(core, range, *failures > 0);
+    sink.note_contact(core, false);
     *failures = 0;
     loop {
         let watch = core.parts.store.watch_prefix(&prefix, as_of, WATCH_MS);
@@ -206,6 +212,8 @@
         }
     }
 
+    fn note_contact(&self, _core: &GatewayCore, _is_lost: bool) {}
+
     fn pace(&self, _core: &GatewayCore) -> Duration {
         Duration::ZERO
     }
@@ -301,8 +309,12 @@
         core.queue.wake_all();
     }
 
+    fn note_contact(&self, core: &GatewayCore, is_lost: bool) {
+        core.is_registry_lost.store(is_lost, Ordering::Relaxed);
+    }
+
     fn pace(&self, core: &GatewayCore) -> Duration {
-        if core.is_placer.load(std::sync::atomic::Ordering::Relaxed) {
+        if core.is_placer.load(Ordering::Relaxed) {
             PLACER_PACE
         } else {
             REGISTRY_PACE
--- a/lib/src/fleet/endpoint_record.rs
+++ b/lib/src/fleet/endpoint_record.rs
@@ -41,6 +41,10 @@
     pub model: Option<ModelId>,
     /// Models whose weights lie on its host.
     pub staged: Vec<ModelId>,
+    /// Writes of its entry in the registry; the same number means the same entry.
+    pub entry_writes: u64,
+    /// Whether its group was learned from the endpoint itself since that write.
+    pub is_reported: bool,
     /// Version of its software.
     pub version: SmolStr,
 }
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -19,8 +19,21 @@
 
 impl EndpointTable {
     /// Adds or replaces an endpoint.
-    pub fn upsert(&mut self, record: EndpointRecord) {
+    ///
+    /// What an endpoint has said itself since its entry was written stands against
+    /// that entry, which is read again after an outage of the registry.
+    pub fn upsert(&mut self, mut record: EndpointRecord) {
         self.missing_until.remove(&record.id);
+        if let Some(old) = self.records.get(&record.id)
+            && old.is_reported
+            && old.incarnation == record.incarnation
+            && old.entry_writes == record.entry_writes
+        {
+            record.membership = old.membership.clone();
+            record.model = old.model.clone();
+            record.staged = old.staged.clone();
+            record.is_reported = true;
+        }
         self.records.insert(record.id.clone(), record);
     }
 
@@ -81,6 +94,7 @@
         record.membership = report.membership;
         record.model = report.model;
         record.staged = report.staged;
+        record.is_reported = true;
         true
     }
 
--- a/lib/src/fleet/engine_report.rs
+++ b/lib/src/fleet/engine_report.rs
@@ -1,11 +1,14 @@
 //! What an engine says of itself when it is asked.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::GroupMembership;
 use crate::ids::Incarnation;
 use crate::ids::ModelId;
 
 /// The state of an engine at the moment of the answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineReport {
     /// Number that differs between two starts under one name.
     pub incarnation: Incarnation,
--- a/lib/src/fleet/group_membership.rs
+++ b/lib/src/fleet/group_membership.rs
@@ -1,10 +1,13 @@
 //! The part of a VM in a group.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::GroupKey;
 use super::MemberState;
 
 /// What a VM says of the group that it has joined.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupMembership {
     /// The group.
     pub key: GroupKey,
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -7,8 +7,10 @@
 use crate::claims::ClaimKey;
 use crate::claims::ClaimReply;
 use crate::fleet::EndpointLoad;
+use crate::fleet::EngineReport;
 use crate::fleet::GroupKey;
 use crate::ids::EndpointId;
+use crate::ids::Fence;
 use crate::ids::Milliseconds;
 use crate::ids::Nonce;
 use crate::membership::ConfirmedVersion;
@@ -72,6 +74,15 @@
     Loads {
         /// Work by endpoint.
         loads: Vec<(EndpointId, EndpointLoad)>,
+        /// Fence under which the sender forms groups, if it does.
+        placer: Option<Fence>,
+    },
+    /// Tells what engines have said while the registry is away.
+    Observed {
+        /// Fence under which the sender forms groups.
+        placer: Fence,
+        /// The engines and their reports.
+        reports: Vec<(EndpointId, EngineReport)>,
     },
     /// Tells that a head has fallen silent and does not answer a probe.
     Silent {
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -367,6 +367,8 @@
                 membership,
                 model: vm.model.clone(),
                 staged: vm.staged.clone(),
+                entry_writes: 0,
+                is_reported: false,
                 version: "v1".into(),
             });
         }
