admission: requests that are late already do not wait for a slot

Cause: under a burst those that waited until half of their objective got their first event too late, and callers that came back late took slots from those on time. Change: a request may wait for its objective less the usual time to a first event of its pool, half of the objective at most; one whose objective has passed since its caller first asked takes a free slot or is refused at once.

--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -75,6 +75,13 @@
         let patience_ms = head.patience_ms.unwrap_or(USUAL_PATIENCE_MS);
         let limit_ms = patience_ms.min(route.limit_ms.max(1));
         let deadline = received_at + Duration::from_millis(limit_ms);
+        let age_before_ms = match head.patience_ms {
+            Some(patience) => {
+                let mut returns = self.core.returns.lock().expect("return lock");
+                returns.observe(&route.name, patience)
+            }
+            None => 0,
+        };
         let (mut parts, body) = request.into_parts();
         let body = read_body(body, &config, deadline).await?;
         remove_connection_headers(&mut parts.headers);
@@ -96,6 +103,7 @@
             pool: PoolKey { service, model },
             config_version: config.version,
             received_at,
+            age_before_ms,
             deadline,
         })
     }
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use jujuberoad::fleet::PoolKey;
+use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::Revision;
 use jujuberoad::ids::TeamId;
 use jujuberoad::serving::RouteSpec;
@@ -16,13 +17,13 @@
 use jujuberoad_node::backends::CallerHead;
 use smol_str::SmolStr;
 
+use crate::gateway_core::GatewayCore;
 use crate::own_answer::OwnAnswer;
 use crate::taken_target::NoTarget;
 use crate::taken_target::TargetNeed;
 
-/// Part of the objective that a request may wait for a slot; the rest is for
-/// reading the prompt.
-const WAIT_SHARE: f64 = 0.5;
+/// Wait for a slot of a request that is late already; nobody on time waits behind it.
+const LATE_WAIT: Duration = Duration::from_millis(0);
 /// Part of the time that is left after which callers still come back.
 const RETURN_SHARE: f64 = 0.3;
 /// Shortest and longest time after which a refused caller is asked back.
@@ -43,18 +44,28 @@
     pub(crate) pool: PoolKey,
     pub(crate) config_version: Revision,
     pub(crate) received_at: Instant,
+    /// Time since the caller first asked, where it has been refused before.
+    pub(crate) age_before_ms: Milliseconds,
     /// Moment at which the caller or the operator no longer wants an answer.
     pub(crate) deadline: Instant,
 }
 
 impl CallerRequest {
     /// Returns what the request needs to be sent.
-    pub(crate) fn need(&self) -> TargetNeed {
-        let objective = Duration::from_millis(self.route.objective_ms.max(1));
-        let wait = objective.mul_f64(WAIT_SHARE);
+    pub(crate) fn need(&self, core: &GatewayCore) -> TargetNeed {
+        let objective_ms = self.route.objective_ms;
+        let is_late = self.age_before_ms >= objective_ms.max(1);
+        let wait = if is_late {
+            LATE_WAIT
+        } else {
+            let clock = core.first_events.lock().expect("first event lock");
+            let longest = clock.longest_wait(&self.pool, objective_ms);
+            longest.saturating_sub(Duration::from_millis(self.age_before_ms))
+        };
         TargetNeed {
             pool: self.pool.clone(),
-            priority: self.priority,
+            // Those that can still be on time go before those that cannot.
+            priority: 2 * self.priority + u32::from(is_late),
             prompt_tokens: self.head.prompt_tokens,
             give_up_at: self.deadline.min(self.received_at + wait),
             tried: Vec::new(),
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jujuberoad::admission::FirstEventClock;
+use jujuberoad::admission::ReturnWatch;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::RetryAllowance;
 use jujuberoad::fleet::ServingTarget;
@@ -41,6 +43,8 @@
     pub(crate) peers: Arc<PeerSocket>,
     pub(crate) peer_addresses: Mutex<BTreeMap<RouterId, SocketAddr>>,
     pub(crate) loads: Mutex<LoadTable>,
+    pub(crate) first_events: Mutex<FirstEventClock>,
+    pub(crate) returns: Mutex<ReturnWatch>,
     pub(crate) allowance: Mutex<RetryAllowance>,
     pub(crate) cold_sends: Mutex<HashMap<EndpointId, (Instant, u32)>>,
     pub(crate) lost: Mutex<HashMap<EndpointId, Instant>>,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -155,6 +155,8 @@
         peers,
         peer_addresses: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
+        first_events: Mutex::default(),
+        returns: Mutex::default(),
         allowance: Mutex::new(allowance),
         cold_sends: Mutex::default(),
         lost: Mutex::default(),
--- a/gateway/src/plain_call.rs
+++ b/gateway/src/plain_call.rs
@@ -59,7 +59,7 @@
 
     /// Returns the answer of an endpoint, or ours.
     pub(crate) async fn run(mut self) -> Response<ReplyBody> {
-        let mut need = self.request.need();
+        let mut need = self.request.need(&self.core);
         let mut failure: Option<Response<ReplyBody>> = None;
         loop {
             let taken = match TakenTarget::take(&self.core, &need).await {
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -104,7 +104,7 @@
 
 impl StreamCall {
     pub(crate) fn new(core: Arc<GatewayCore>, request: CallerRequest) -> Self {
-        let need = request.need();
+        let need = request.need(&core);
         Self {
             core,
             request,
@@ -198,6 +198,7 @@
 
     async fn attempt(&self, taken: TakenTarget, after: Option<u64>) -> RunEnd {
         let address = taken.target.address;
+        let sent_at = Instant::now();
         let mut entry = StreamEntry::new(&self.core, taken);
         let lost_signal = entry.lost.clone();
         let lost = async {
@@ -250,6 +251,10 @@
                 return RunEnd::MayHaveRun(error);
             }
         };
+        if after.is_none() {
+            let mut clock = self.core.first_events.lock().expect("first event lock");
+            clock.observe(&self.request.pool, sent_at.elapsed());
+        }
         entry.observe_event();
         RunEnd::Open(Box::new(OpenRun {
             entry,
--- /dev/null
+++ b/lib/src/admission/first_event_clock.rs
@@ -0,0 +1,42 @@
+//! How long the first event of a stream takes once it has been sent.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::fleet::PoolKey;
+use crate::ids::Milliseconds;
+
+/// Weight of a new time in the mean.
+const TIME_WEIGHT: f64 = 0.05;
+/// Time that is assumed before any has been seen, as part of the objective.
+const FIRST_SHARE: f64 = 0.5;
+/// Time kept back for the way to the caller and the spread of the mean.
+const MARGIN: Duration = Duration::from_millis(0);
+/// Part of the objective that may be spent on waiting at most.
+const MAX_WAIT_SHARE: f64 = 0.5;
+
+/// Mean times by pool.
+#[derive(Clone, Debug, Default)]
+pub struct FirstEventClock {
+    mean_ms: HashMap<PoolKey, f64>,
+}
+
+impl FirstEventClock {
+    /// Notes the time from sending a request to its first event.
+    pub fn observe(&mut self, pool: &PoolKey, taken: Duration) {
+        let taken_ms = taken.as_secs_f64() * 1_000.0;
+        let mean = self.mean_ms.entry(pool.clone()).or_insert(taken_ms);
+        *mean += TIME_WEIGHT * (taken_ms - *mean);
+    }
+
+    /// Returns how long a request may wait for a slot and still be on time.
+    pub fn longest_wait(&self, pool: &PoolKey, objective_ms: Milliseconds) -> Duration {
+        let objective = Duration::from_millis(objective_ms.max(1));
+        let usual = match self.mean_ms.get(pool) {
+            Some(mean) => Duration::from_secs_f64(mean / 1_000.0),
+            None => objective.mul_f64(FIRST_SHARE),
+        };
+        let wait = objective.saturating_sub(usual + MARGIN);
+        wait.min(objective.mul_f64(MAX_WAIT_SHARE))
+    }
+}
