placement: spares are warmed, news of groups come from the placer

Ruled out: leaving spares in a group of one (its later join would replace a group). Change: a spare joins a group of one, which is never opened, and leaves it; its next join is fast. The placer tells peers what changed; other routers watch the registry every 900 ms.

--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jujuberoad::fleet::EngineReport;
+use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::StoreVersion;
 use jujuberoad::peer::PeerFrame;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::peer::PeerHandler;
@@ -25,6 +28,9 @@
 /// Digests that may be lost before a peer's work is no longer counted.
 const DIGEST_VALID: Duration = Duration::from_millis(600);
 
+/// Reports in one message, so that it fits in a datagram.
+const REPORTS_PER_MESSAGE: usize = 20;
+
 /// Takes messages of peers.
 pub(crate) struct PeerDesk {
     core: Arc<GatewayCore>,
@@ -52,6 +58,31 @@
     });
 }
 
+/// Tells peers what engines do, while this router forms groups.
+pub(crate) fn tell_observed(
+    core: &Arc<GatewayCore>,
+    as_of: Option<StoreVersion>,
+    news: Vec<(EndpointId, EngineReport)>,
+) {
+    let Some(right) = core.session.placer_right() else {
+        return;
+    };
+    if news.is_empty() {
+        return;
+    }
+    let core = Arc::clone(core);
+    runtime::spawn(async move {
+        for reports in news.chunks(REPORTS_PER_MESSAGE) {
+            let message = PeerMessage::Observed {
+                placer: right.fence,
+                as_of,
+                reports: reports.to_vec(),
+            };
+            tell_all(&core, message).await;
+        }
+    });
+}
+
 /// Sends a message to all peers.
 pub(crate) async fn tell_all(core: &GatewayCore, message: PeerMessage) {
     let peers: Vec<SocketAddr> = {
@@ -75,10 +106,19 @@
                 let mut table = self.core.loads.lock().expect("load lock");
                 table.observe_peer(frame.sender, loads, valid_until);
             }
-            PeerMessage::Observed { placer, reports } => {
+            PeerMessage::Observed {
+                placer,
+                as_of,
+                reports,
+            } => {
                 self.core.session.observe_peer_fence(placer);
-                // A registry that can be read knows better.
-                if self.core.is_registry_lost.load(Ordering::Relaxed) {
+                let known = self.core.board.view().registry_version;
+                let is_news = match as_of {
+                    Some(version) => version > known,
+                    // A registry that can be read knows better.
+                    None => self.core.is_registry_lost.load(Ordering::Relaxed),
+                };
+                if is_news {
                     for (endpoint, report) in reports {
                         self.core.board.apply_report(&endpoint, report);
                     }
--- a/gateway/src/report_poll.rs
+++ b/gateway/src/report_poll.rs
@@ -13,7 +13,6 @@
 
 use jujuberoad::fleet::EngineReport;
 use jujuberoad::ids::EndpointId;
-use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::runtime;
 use smol::Timer;
 use smol::channel;
@@ -32,8 +31,6 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(100);
 /// Unanswered questions in a row after which an engine counts as lost.
 const LOST_AFTER: u32 = 2;
-/// Reports in one message, so that it fits in a datagram.
-const REPORTS_PER_MESSAGE: usize = 20;
 
 /// When an engine is asked next, and how often it did not answer.
 #[derive(Clone, Copy)]
@@ -97,16 +94,7 @@
         return;
     }
     core.queue.wake_all();
-    let Some(right) = core.session.placer_right() else {
-        return;
-    };
-    for reports in news.chunks(REPORTS_PER_MESSAGE) {
-        let message = PeerMessage::Observed {
-            placer: right.fence,
-            reports: reports.to_vec(),
-        };
-        peer_exchange::tell_all(core, message).await;
-    }
+    peer_exchange::tell_observed(core, None, news);
 }
 
 /// Returns all engines, each with whether it is outside a serving group.
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -37,6 +37,9 @@
 const LEASE_MS: Milliseconds = 2_000;
 /// Pause between renewals; three fit in a lease.
 const RENEW_PACE: Duration = Duration::from_millis(600);
+/// Pause between two watches of the product's own keys: each router that comes or
+/// goes wakes all others.
+const OWN_PACE: Duration = Duration::from_millis(400);
 /// Failed calls in a row after which the store counts as away.
 const AWAY_AFTER: u32 = 1;
 /// Time for one call to the store.
@@ -273,7 +276,7 @@
         OWN_PREFIX.to_owned()
     }
 
-    fn replace(&self, core: &GatewayCore, range: StoredRange, _after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
         let keys: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
         let known: BTreeMap<RouterId, SocketAddr> =
             core.peer_addresses.lock().expect("peer lock").clone();
@@ -292,7 +295,7 @@
         core.session.state.lock().expect("session lock").has_read = true;
     }
 
-    fn apply(&self, core: &GatewayCore, events: Vec<StoreEvent>, _as_of: StoreVersion) {
+    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, _as_of: StoreVersion) {
         for event in events {
             match event {
                 StoreEvent::Written(item) => self.take(core, &item),
@@ -304,6 +307,6 @@
     fn note_contact(&self, _core: &GatewayCore, _is_lost: bool) {}
 
     fn pace(&self, _core: &GatewayCore) -> Duration {
-        Duration::ZERO
+        OWN_PACE
     }
 }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -24,14 +24,18 @@
 use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
+use crate::peer_exchange;
 
 /// Time that the store holds a watch open when nothing changes.
 const WATCH_MS: Milliseconds = 10_000;
 /// Time for a full read; a slow store answers within some hundred milliseconds.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause between two watches of the registry, which changes dozens of times a
-/// second; each call is billed, and 2 s is the bound for leaving endpoints.
-const REGISTRY_PACE: Duration = Duration::from_millis(200);
+/// second; endpoints that leave must be known within 2 s, and news of groups come
+/// from the router that forms them.
+const REGISTRY_PACE: Duration = Duration::from_millis(900);
+/// The same until callers come, when endpoints register one after the other.
+const START_PACE: Duration = Duration::from_millis(300);
 /// The same while this router forms groups, where each wait delays a repair.
 const PLACER_PACE: Duration = Duration::from_millis(80);
 /// Pause after a failed call.
@@ -48,10 +52,10 @@
     fn prefix(&self) -> String;
 
     /// Takes a full read; `after_outage` tells that calls have failed before it.
-    fn replace(&self, core: &GatewayCore, range: StoredRange, after_outage: bool);
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, after_outage: bool);
 
     /// Takes changes in order; they are known as of `as_of`.
-    fn apply(&self, core: &GatewayCore, events: Vec<StoreEvent>, as_of: StoreVersion);
+    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, as_of: StoreVersion);
 
     /// Takes whether the prefix can be read.
     fn note_contact(&self, core: &GatewayCore, is_lost: bool);
@@ -99,7 +103,7 @@
 enum Never {}
 
 async fn follow_once(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     sink: &impl PrefixSink,
     failures: &mut u32,
 ) -> Result<Never, StoreError> {
@@ -182,7 +186,7 @@
         self.prefix.clone()
     }
 
-    fn replace(&self, core: &GatewayCore, range: StoredRange, _after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
         let dialect = &core.parts.dialect;
         let out: Vec<_> = range
             .items
@@ -199,7 +203,7 @@
         }
     }
 
-    fn apply(&self, core: &GatewayCore, events: Vec<StoreEvent>, _as_of: StoreVersion) {
+    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, _as_of: StoreVersion) {
         for event in events {
             match event {
                 StoreEvent::Written(item) => self.take(core, item),
@@ -255,7 +259,7 @@
         self.prefix.clone()
     }
 
-    fn replace(&self, core: &GatewayCore, range: StoredRange, after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, after_outage: bool) {
         let now = Instant::now();
         let mut records = Vec::new();
         for item in &range.items {
@@ -274,7 +278,7 @@
         core.queue.wake_all();
     }
 
-    fn apply(&self, core: &GatewayCore, events: Vec<StoreEvent>, as_of: StoreVersion) {
+    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, as_of: StoreVersion) {
         let now = Instant::now();
         let mut changes = Vec::new();
         for event in events {
@@ -293,9 +297,14 @@
                 }
             }
         }
+        let mut news = Vec::new();
         for (id, record) in &changes {
-            self.note_change(core, id, record.as_ref(), as_of);
+            let has_moved = self.note_change(core, id, record.as_ref(), as_of);
+            if let Some(record) = record.as_ref().filter(|_| has_moved) {
+                news.push((id.clone(), record.report()));
+            }
         }
+        peer_exchange::tell_observed(core, Some(as_of), news);
         core.board.change_registry(as_of, now, |table| {
             let has_changed = !changes.is_empty();
             for (id, record) in changes {
@@ -317,27 +326,30 @@
         if core.is_placer.load(Ordering::Relaxed) {
             PLACER_PACE
         } else {
-            REGISTRY_PACE
+            let has_traffic = core.has_traffic.load(Ordering::Relaxed);
+            if has_traffic { REGISTRY_PACE } else { START_PACE }
         }
     }
 }
 
 impl RegistrySink {
-    /// Logs what matters of a change, and trusts an endpoint again that has changed.
+    /// Logs what matters of a change, and trusts an endpoint again that has changed;
+    /// tells whether it has joined or left a group, or changed its part in it.
     fn note_change(
         &self,
         core: &GatewayCore,
         id: &EndpointId,
         record: Option<&EndpointRecord>,
         as_of: StoreVersion,
-    ) {
+    ) -> bool {
         let old = core.board.endpoint(id);
         let old_membership = old.as_ref().and_then(|old| old.membership.clone());
         let new_membership = record.and_then(|record| record.membership.clone());
         let is_same = old.as_ref().map(|old| (old.state, old.incarnation))
             == record.map(|record| (record.state, record.incarnation));
-        if is_same && old_membership == new_membership {
-            return;
+        let has_moved = old_membership != new_membership;
+        if is_same && !has_moved {
+            return false;
         }
         core.clear_lost(id);
         core.log.write(
@@ -354,5 +366,6 @@
                 "was_group": old_membership.as_ref().map(|group| group.key.to_string()),
             }),
         );
+        has_moved
     }
 }
--- a/lib/src/fleet/endpoint_record.rs
+++ b/lib/src/fleet/endpoint_record.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::EndpointState;
+use super::EngineReport;
 use super::GroupMembership;
 use crate::ids::DomainId;
 use crate::ids::EndpointId;
@@ -55,6 +56,17 @@
         self.staged.iter().any(|staged| staged == model)
     }
 
+    /// Returns what it would report of itself; the count of orders is not known.
+    pub fn report(&self) -> EngineReport {
+        EngineReport {
+            incarnation: self.incarnation,
+            membership: self.membership.clone(),
+            model: self.model.clone(),
+            staged: self.staged.clone(),
+            sequence: 0,
+        }
+    }
+
     /// Tells whether it is cold at `now`.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -23,6 +23,7 @@
 use crate::ids::EndpointId;
 use crate::ids::Epoch;
 use crate::ids::Fence;
+use crate::ids::Incarnation;
 use crate::ids::ModelId;
 use crate::serving::EngineProfile;
 use crate::serving::ModelProfile;
@@ -62,6 +63,10 @@
     formations: BTreeMap<GroupKey, Formation>,
     retry_at: BTreeMap<(EndpointId, &'static str), Instant>,
     loading: BTreeMap<EndpointId, Loading>,
+    /// Spares that hold their model alone for a moment, so that they join fast later.
+    warming: BTreeMap<EndpointId, GroupKey>,
+    /// Spares that have done so, with the start at which they did.
+    warmed: BTreeMap<EndpointId, (Incarnation, ModelId)>,
     /// Members that have left a group which the registry still shows them in.
     left: BTreeMap<EndpointId, GroupKey>,
 }
@@ -92,6 +97,8 @@
             formations: BTreeMap::new(),
             retry_at: BTreeMap::new(),
             loading: BTreeMap::new(),
+            warming: BTreeMap::new(),
+            warmed: BTreeMap::new(),
             left: BTreeMap::new(),
         }
     }
@@ -119,6 +126,7 @@
                 }
             }
             self.form_groups(&mut sorting, input, &mut orders);
+            self.warm_spares(&mut sorting, input, &mut orders);
             self.stage_weights(&sorting, input, &mut orders);
         }
         orders
@@ -152,6 +160,15 @@
             };
             now < loading.give_up_at && !record.has_staged(&loading.model)
         });
+        let retry_at = &self.retry_at;
+        self.warming.retain(|id, key| {
+            let record = input.table.get(id);
+            let joined = record.and_then(|record| record.membership.as_ref());
+            // A join that has not shown by now was lost or refused.
+            let is_shown = joined.is_some_and(|joined| joined.key == *key);
+            is_shown || (record.is_some() && retry_at.contains_key(&(id.clone(), "join")))
+        });
+        self.warmed.retain(|id, _| input.table.get(id).is_some());
         let groups = &input.groups.groups;
         self.left.retain(|id, key| {
             let record = input.table.get(id);
@@ -191,6 +208,9 @@
         input: &PlannerInput<'_>,
         orders: &mut Vec<PlannedOrder>,
     ) -> Vec<EndpointId> {
+        if let Some(bound) = self.tend_warming(summary, input, orders) {
+            return bound;
+        }
         let members = || summary.members.iter().map(|(_, id, _)| id.clone());
         let has_lost = members().any(|id| input.lost.contains(&id));
         let is_whole = summary.is_whole() && !has_lost;
@@ -215,6 +235,59 @@
         }
     }
 
+    /// Has spares hold their model alone: the next join of a VM whose last group held
+    /// the same model takes a fraction of the time.
+    fn warm_spares(
+        &mut self,
+        sorting: &mut Sorting<'_>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let mut warming = BTreeSet::new();
+        for record in &sorting.free {
+            let Some(model) = record.staged.first() else {
+                continue;
+            };
+            let is_warm = record.model.as_ref() == Some(model)
+                || self.warmed.get(&record.id) == Some(&(record.incarnation, model.clone()));
+            if is_warm || self.warming.contains_key(&record.id) {
+                continue;
+            }
+            let key = self.next_key('w');
+            let order = ReplicaOrder::Join {
+                key: key.clone(),
+                model: model.clone(),
+                members: vec![record.id.clone()],
+            };
+            self.push(&record.id, order, "a spare is warmed", input, orders);
+            self.warming.insert(record.id.clone(), key);
+            warming.insert(record.id.clone());
+        }
+        sorting.free.retain(|record| !warming.contains(&record.id));
+    }
+
+    /// Tends the group of one in which a spare is warmed; nothing for other groups.
+    fn tend_warming(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> Option<Vec<EndpointId>> {
+        let (_, id, state) = summary.members.first()?;
+        if self.warming.get(id) != Some(&summary.key) {
+            return None;
+        }
+        if *state == MemberState::Joining {
+            return Some(vec![id.clone()]);
+        }
+        self.warming.remove(id);
+        if let Some(record) = input.table.get(id) {
+            let warmed = (record.incarnation, summary.model.clone());
+            self.warmed.insert(id.clone(), warmed);
+        }
+        Some(self.dissolve(summary, input, orders))
+    }
+
     /// Lets a group whose member is about to leave finish what it has.
     fn close_gently(
         &mut self,
@@ -263,12 +336,14 @@
         orders: &mut Vec<PlannedOrder>,
     ) -> bool {
         let Some(membership) = &record.membership else {
-            return true;
+            return !self.warming.contains_key(&record.id);
         };
         if self.left.get(&record.id) == Some(&membership.key) {
             return true;
         }
-        if !input.groups.groups.contains_key(&membership.key) {
+        // A member that joins does not name its model before it holds it.
+        let is_joining = membership.state == MemberState::Joining;
+        if !is_joining && !input.groups.groups.contains_key(&membership.key) {
             let key = membership.key.clone();
             let order = ReplicaOrder::Leave { key };
             self.push(&record.id, order, "its group is not known", input, orders);
@@ -371,12 +446,7 @@
         input: &PlannerInput<'_>,
         orders: &mut Vec<PlannedOrder>,
     ) {
-        let epoch = self.next_epoch;
-        self.next_epoch += 1;
-        let key = GroupKey {
-            group: format!("g{epoch}").into(),
-            epoch,
-        };
+        let key = self.next_key('g');
         let formation = Formation {
             model: profile.model.clone(),
             members: members.iter().map(|record| record.id.clone()).collect(),
@@ -389,6 +459,15 @@
         self.formations.insert(key, formation);
     }
 
+    fn next_key(&mut self, letter: char) -> GroupKey {
+        let epoch = self.next_epoch;
+        self.next_epoch += 1;
+        GroupKey {
+            group: format!("{letter}{epoch}").into(),
+            epoch,
+        }
+    }
+
     /// Chooses models for VMs that hold none and has them loaded, those first whose
     /// load lets a group be formed of the model that has fewest groups.
     fn stage_weights(
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -13,6 +13,7 @@
 use crate::ids::Fence;
 use crate::ids::Milliseconds;
 use crate::ids::Nonce;
+use crate::ids::StoreVersion;
 use crate::membership::ConfirmedVersion;
 use crate::membership::PeerVote;
 use crate::slots::SlotGrant;
@@ -77,10 +78,12 @@
         /// Fence under which the sender forms groups, if it does.
         placer: Option<Fence>,
     },
-    /// Tells what engines have said while the registry is away.
+    /// Tells what engines are known to do, ahead of the registry or in place of it.
     Observed {
         /// Fence under which the sender forms groups.
         placer: Fence,
+        /// Version of the store that showed it; nothing while the store is away.
+        as_of: Option<StoreVersion>,
         /// The engines and their reports.
         reports: Vec<(EndpointId, EngineReport)>,
     },
--- a/lib/tests/test_replica_planner.rs
+++ b/lib/tests/test_replica_planner.rs
@@ -108,3 +108,33 @@
         assert_eq!(sim.faults, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn a_calm_fleet_needs_no_orders() {
+    let mut sim = ReplicaSim::new(SimPlan::default(), 3);
+    sim.run(LEAD_MS);
+    let before = sim.orders_given;
+    sim.run(LEAD_MS);
+    assert_eq!(sim.orders_given - before, 0);
+}
+
+/// Callers leave a stream after two seconds without an event, so a group that lost
+/// a member has to be back by then.
+#[test]
+fn a_warm_spare_mends_a_group_before_callers_leave() {
+    for seed in 0..20 {
+        let mut sim = ReplicaSim::new(SimPlan::default(), seed);
+        sim.run(LEAD_MS);
+        sim.has_traffic = true;
+        let before = sim.serving()["wide"];
+        let victim = sim
+            .vms
+            .iter()
+            .find(|(_, vm)| vm.domain == "z0d0" && vm.is_joined())
+            .map(|(id, _)| id.clone())
+            .expect("a VM in a group");
+        sim.kill(&victim);
+        sim.run(2_000);
+        assert_eq!(sim.serving()["wide"], before, "seed {seed}");
+    }
+}
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -67,6 +67,20 @@
     was_ready: BTreeSet<GroupKey>,
 }
 
+impl SimVm {
+    /// Tells whether it is in a group.
+    pub fn is_joined(&self) -> bool {
+        self.membership.is_some()
+    }
+
+    /// A VM names its model while it holds it as a member.
+    fn shown_model(&self) -> Option<ModelId> {
+        let membership = self.membership.as_ref()?;
+        let holds = membership.state != MemberState::Joining;
+        self.model.clone().filter(|_| holds)
+    }
+}
+
 /// Settings of a world.
 #[derive(Clone, Debug)]
 pub struct SimPlan {
@@ -365,7 +379,7 @@
                 },
                 cold_until: None,
                 membership,
-                model: vm.model.clone(),
+                model: vm.shown_model(),
                 staged: vm.staged.clone(),
                 entry_writes: 0,
                 is_reported: false,
@@ -417,7 +431,7 @@
         let report = EngineReport {
             incarnation: 1,
             membership: vm.membership.clone(),
-            model: vm.model.clone(),
+            model: vm.shown_model(),
             staged: vm.staged.clone(),
             sequence: vm.sequence,
         };
