--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -39,6 +39,8 @@
 pub(crate) enum NoTarget {
     /// No endpoint serves the pool at all.
     NoneServes,
+    /// Every endpoint has had the request already.
+    AllTried,
     /// The queue is longer than can be served in time.
     QueueFull,
     /// No slot became free in time.
@@ -62,10 +64,15 @@
         if (ahead == 0 || need.is_resumed) && let Some(taken) = Self::try_take(core, need) {
             return Ok(taken);
         }
-        let serving = core.board.view().targets.pool(&need.pool).len();
+        let view = core.board.view();
+        let targets = view.targets.pool(&need.pool);
+        let serving = targets.len();
         if serving == 0 {
             return Err(NoTarget::NoneServes);
         }
+        if targets.iter().all(|target| need.tried.contains(&target.endpoint)) {
+            return Err(NoTarget::AllTried);
+        }
         // Each target frees a slot within the waiting time at best.
         if !need.is_resumed && ahead > serving {
             return Err(NoTarget::QueueFull);
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -124,10 +124,10 @@
         body: Bytes,
         deadline: Instant,
     ) -> Result<HttpReply, CallError> {
-        let mut request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", address.to_string());
+        let mut request = Request::builder().method(method).uri(path);
+        if !headers.iter().any(|(name, _)| *name == "host") {
+            request = request.header("host", address.to_string());
+        }
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
