tests: beliefs, shared retries, choice, waiting, routes and events

Cause: the decisions of the gateway had only the planner's tests. Ruled out: bounds from measured figures; they come from the pauses of 200 to 300 ms and the limits that the settings state.

--- /dev/null
+++ b/lib/tests/test_fleet.rs
@@ -0,0 +1,279 @@
+//! Beliefs on endpoints, and the shares and choices that rest on them.
+
+mod testutils;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use insta::assert_snapshot;
+use jujuberoad::fleet::EndpointLoad;
+use jujuberoad::fleet::EndpointRecord;
+use jujuberoad::fleet::EndpointState;
+use jujuberoad::fleet::EndpointTable;
+use jujuberoad::fleet::EngineReport;
+use jujuberoad::fleet::GroupIndex;
+use jujuberoad::fleet::GroupKey;
+use jujuberoad::fleet::GroupMembership;
+use jujuberoad::fleet::LoadTable;
+use jujuberoad::fleet::MemberState;
+use jujuberoad::fleet::PoolKey;
+use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::ServingTarget;
+use jujuberoad::fleet::StallWatch;
+use jujuberoad::fleet::TargetPicker;
+use jujuberoad::fleet::TargetTable;
+use jujuberoad::serving::EngineProfile;
+use jujuberoad::serving::ServiceProfile;
+use jujuberoad::serving::ServingConfig;
+use jujuberoad::serving::TrafficLimits;
+use testutils::draw;
+use testutils::for_seeds;
+use testutils::replica_sim::model;
+
+fn key(group: &str) -> GroupKey {
+    GroupKey {
+        group: group.into(),
+        epoch: 1,
+    }
+}
+
+fn member(id: &str, group: &str, rank: usize, state: MemberState) -> EndpointRecord {
+    EndpointRecord {
+        id: id.into(),
+        incarnation: 1,
+        service: "engines".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z1".into(),
+        domain: "d1".into(),
+        slots: 8,
+        state: EndpointState::Ready,
+        cold_until: None,
+        membership: Some(GroupMembership {
+            key: key(group),
+            rank,
+            state,
+        }),
+        model: Some("m".into()),
+        staged: vec!["m".into()],
+        entry_writes: 1,
+        is_reported: false,
+        version: "v1".into(),
+    }
+}
+
+fn config(size: usize) -> ServingConfig {
+    let engine = EngineProfile {
+        slots: 8,
+        models: vec![model("m", size, 1.0, 10_000, 1_000)],
+        ..EngineProfile::default()
+    };
+    let service = ServiceProfile {
+        name: "engines".into(),
+        engine: Some(engine),
+        ..ServiceProfile::default()
+    };
+    ServingConfig::new(1, Vec::new(), vec![service], None, TrafficLimits::default())
+}
+
+fn targets(table: &EndpointTable, out: &[&str]) -> Vec<String> {
+    let config = config(2);
+    let groups = GroupIndex::collect(table, &config);
+    let out: BTreeSet<_> = out.iter().map(|zone| (*zone).into()).collect();
+    let targets = TargetTable::collect(table, &groups, &config, &out);
+    let pool = PoolKey {
+        service: "engines".into(),
+        model: Some("m".into()),
+    };
+    targets.pool(&pool).iter().map(|target| target.endpoint.to_string()).collect()
+}
+
+#[test]
+fn only_whole_open_groups_take_requests() {
+    let whole = [
+        member("a", "g", 0, MemberState::Open),
+        member("b", "g", 1, MemberState::Ready),
+    ];
+    let mut lines = Vec::new();
+    let mut note = |what: &str, records: &[EndpointRecord], out: &[&str]| {
+        let mut table = EndpointTable::default();
+        table.replace_all(records.to_vec(), None);
+        lines.push(format!("{what}: {:?}", targets(&table, out)));
+    };
+    note("whole", &whole, &[]);
+    note("zone out", &whole, &["z1"]);
+    note("member missing", &whole[..1], &[]);
+    note("head missing", &whole[1..], &[]);
+    let mut records = whole.clone();
+    records[1].state = EndpointState::Draining;
+    note("member leaving", &records, &[]);
+    let mut records = whole.clone();
+    records[1] = member("b", "g", 1, MemberState::Joining);
+    note("member joining", &records, &[]);
+    let mut records = whole.clone();
+    records[1] = member("b", "other", 1, MemberState::Ready);
+    note("member elsewhere", &records, &[]);
+    let mut records = whole;
+    records[0] = member("a", "g", 0, MemberState::Closing);
+    note("head closing", &records, &[]);
+    assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_for_a_while() {
+    let now = Instant::now();
+    let grace = now + Duration::from_secs(2);
+    let mut table = EndpointTable::default();
+    table.upsert(member("a", "g", 0, MemberState::Open));
+    table.upsert(member("b", "g", 1, MemberState::Ready));
+    table.replace_all(vec![member("a", "g", 0, MemberState::Open)], Some(grace));
+    assert_eq!(table.len(), 2);
+    assert!(!table.expire(now));
+    table.upsert(member("b", "g", 1, MemberState::Ready));
+    assert!(!table.expire(grace));
+    table.remove("a", Some(grace));
+    assert!(table.expire(grace));
+    assert_eq!(table.len(), 1);
+}
+
+#[test]
+fn what_an_engine_said_stands_against_an_entry_from_before() {
+    let mut table = EndpointTable::default();
+    table.upsert(member("a", "old", 0, MemberState::Ready));
+    let report = EngineReport {
+        incarnation: 1,
+        membership: Some(GroupMembership {
+            key: key("new"),
+            rank: 0,
+            state: MemberState::Open,
+        }),
+        model: Some("m".into()),
+        ..EngineReport::default()
+    };
+    assert!(table.apply_report("a", report.clone()));
+    let group = |table: &EndpointTable| {
+        let record = table.get("a").expect("an endpoint");
+        let membership = record.membership.as_ref();
+        membership.map(|joined| joined.key.group.to_string())
+    };
+    // The same entry, read again after an outage.
+    table.upsert(member("a", "old", 0, MemberState::Ready));
+    assert_eq!(group(&table).as_deref(), Some("new"));
+    // A later write of the entry.
+    let mut entry = member("a", "third", 0, MemberState::Ready);
+    entry.entry_writes = 2;
+    table.upsert(entry);
+    assert_eq!(group(&table).as_deref(), Some("third"));
+    // Another life under the same name.
+    let other_life = EngineReport {
+        incarnation: 2,
+        ..report
+    };
+    assert!(!table.apply_report("a", other_life));
+}
+
+/// Retries of all routers in any window against what the window allows, whatever
+/// part of the requests reaches which router.
+#[test]
+fn retries_of_all_routers_keep_the_shared_limit() {
+    const WINDOW_MS: u64 = 10_000;
+    for_seeds(200, 4_000, |u| {
+        let start = Instant::now();
+        let routers = draw(u, 1, 6)? as usize;
+        let (ratio, fixed) = (0.2, draw(u, 0, 120)? as f64);
+        let mut shares = vec![RetryAllowance::new(WINDOW_MS, ratio, fixed); routers];
+        let mut requests = Vec::new();
+        let mut retries = Vec::new();
+        let mut at_ms = 0;
+        for _ in 0..400 {
+            at_ms += draw(u, 0, 120)?;
+            let now = start + Duration::from_millis(at_ms);
+            let router = draw(u, 0, routers as u64 - 1)? as usize;
+            if draw(u, 0, 2)? > 0 {
+                shares[router].observe_request(now);
+                requests.push(at_ms);
+            } else if shares[router].try_take(routers, now) {
+                retries.push(at_ms);
+            }
+        }
+        for end in &retries {
+            let inside = |at: &&u64| **at <= *end && **at + WINDOW_MS > *end;
+            let made = requests.iter().filter(inside).count() as f64;
+            let taken = retries.iter().filter(inside).count() as f64;
+            assert!(taken <= ratio * made + fixed, "{taken} of {made} at {end} ms");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn silence_of_all_streams_is_noticed_before_callers_are_late() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut watch = StallWatch::new(start);
+    assert_eq!(watch.silent_at(), None);
+    watch.stream_started(at(0));
+    // Events of a full batch come every 50 ms, some after a long prompt later.
+    for pass in 1..40 {
+        watch.observe_event(at(pass * 50));
+        watch.observe_event(at(pass * 50 + 1));
+    }
+    let silent_at = watch.silent_at().expect("a running stream");
+    let silence = silent_at - at(39 * 50 + 1);
+    // Pauses of 200 to 300 ms are on time; a prompt read in between adds 45 ms.
+    assert!(silence >= Duration::from_millis(95), "{silence:?}");
+    assert!(silence <= Duration::from_millis(200), "{silence:?}");
+    watch.stream_ended();
+    assert_eq!(watch.silent_at(), None);
+}
+
+fn target(id: &str, zone: &str) -> ServingTarget {
+    ServingTarget {
+        endpoint: id.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.into(),
+        group: None,
+        members: Vec::new(),
+        slots: 4,
+        cold_until: None,
+        cold_per_second: 0.0,
+        read_ms_per_token: 0.02,
+        pass_ms: 40.0,
+        pass_ms_per_request: 0.5,
+    }
+}
+
+/// Callers that ask all at once: none is sent above the slots, unread prompts
+/// count for more than running answers, and a near target wins a tie.
+#[test]
+fn the_target_with_the_soonest_first_event_is_picked() {
+    let targets = [target("far", "z2"), target("near", "z1")];
+    let mut loads = LoadTable::default();
+    let pick = |loads: &LoadTable| {
+        let picker = TargetPicker {
+            loads,
+            zone: "z1",
+            avoided: &|_| false,
+            extra: 0,
+        };
+        picker.pick(&targets, || 0.5).map(|target| target.endpoint.to_string())
+    };
+    let mut order = Vec::new();
+    while let Some(endpoint) = pick(&loads) {
+        loads.begin(&endpoint.as_str().into(), 1_000);
+        order.push(endpoint);
+    }
+    assert_snapshot!(order.join(" "), @"near far near far near far near far");
+    // A peer's work counts until it has not spoken for a while.
+    let now = Instant::now();
+    let mut loads = LoadTable::default();
+    let full = EndpointLoad {
+        requests: 4,
+        unread_tokens: 0,
+    };
+    let until = now + Duration::from_millis(500);
+    loads.observe_peer("r2".into(), vec![("near".into(), full)], until);
+    assert_eq!(pick(&loads).as_deref(), Some("far"));
+    loads.expire(until);
+    assert_eq!(pick(&loads).as_deref(), Some("near"));
+}
--- /dev/null
+++ b/lib/tests/test_serving.rs
@@ -0,0 +1,166 @@
+//! Routes, streams of events and waiting.
+
+mod testutils;
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use jujuberoad::admission::FirstEventClock;
+use jujuberoad::admission::ReturnWatch;
+use jujuberoad::fleet::PoolKey;
+use jujuberoad::routing::EventSplitter;
+use jujuberoad::serving::RouteKind;
+use jujuberoad::serving::RouteSpec;
+use jujuberoad::serving::ServiceShare;
+use jujuberoad::serving::ServingConfig;
+use jujuberoad::serving::TeamAccess;
+use jujuberoad::serving::TrafficLimits;
+use testutils::draw;
+use testutils::for_seeds;
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteSpec {
+    RouteSpec {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        ..RouteSpec::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let routes = vec![
+        route("all", "a.example", "/"),
+        route("deep", "a.example", "/x/y/"),
+        route("flat", "a.example", "/x/"),
+        route("other", "b.example", "/x/"),
+    ];
+    let teams = vec![TeamAccess {
+        team: "t".into(),
+        keys: vec!["k1".into(), "k2".into()],
+        priority: None,
+    }];
+    let limits = TrafficLimits::default();
+    let config = ServingConfig::new(1, routes, Vec::new(), Some(teams), limits);
+    let mut lines = Vec::new();
+    for (host, path) in [
+        ("a.example", "/x/y/z"),
+        ("a.example", "/x/yz"),
+        ("A.Example:8080", "/x/"),
+        ("a.example", "/x"),
+        ("b.example", "/y"),
+        ("c.example", "/x/"),
+    ] {
+        let found = config.find_route(host, path).map(|route| route.name.as_str());
+        lines.push(format!("{host}{path}: {}", found.unwrap_or("none")));
+    }
+    for key in ["k1", "k2", "k3", ""] {
+        let team = config.team_of(key).map(|team| team.team.as_str());
+        lines.push(format!("key {key:?}: {}", team.unwrap_or("none")));
+    }
+    assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn services_take_requests_by_weight() {
+    let share = |service: &str, weight| ServiceShare {
+        service: service.into(),
+        weight,
+    };
+    let mut spec = route("r", "a.example", "/");
+    spec.shares = vec![share("a", 90.0), share("none", 0.0), share("b", 10.0)];
+    let picked = |draw| spec.pick_service(draw).map(|share| share.service.to_string());
+    let picks: Vec<_> = [0.0, 0.5, 0.899, 0.9, 0.999].into_iter().filter_map(picked).collect();
+    assert_snapshot!(picks.join(" "), @"a a a b b");
+    spec.shares.clear();
+    assert_eq!(spec.pick_service(0.5), None);
+}
+
+#[test]
+fn only_what_says_so_may_run_twice() {
+    let mut spec = route("r", "a.example", "/");
+    let mut lines = Vec::new();
+    for kind in [RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Streaming] {
+        for is_resumable in [false, true] {
+            spec.kind = kind;
+            spec.is_resumable = is_resumable;
+            lines.push(format!("{kind} resumable={is_resumable}: {}", spec.is_repeatable()));
+        }
+    }
+    assert_snapshot!(lines.join("\n"));
+}
+
+/// However a stream is cut into pieces, and wherever it ends, the same whole events
+/// come out and no part of another one.
+#[test]
+fn events_are_passed_on_whole_however_they_arrive() {
+    let text = "id: 1\ndata: a\n\n: note\n\nversion: 7\nid: 2\ndata: b\ndata: c\n\n\
+        id: 3\r\ndata: d\r\n\r\nid: x\ndata: e\n\n";
+    let whole = events_of(&[text.as_bytes()]).0;
+    assert_eq!(whole.len(), 5);
+    assert_eq!(whole.concat(), text);
+    for_seeds(300, 200, |u| {
+        let end = draw(u, 0, text.len() as u64)? as usize;
+        let mut pieces = Vec::new();
+        let mut at = 0;
+        while at < end {
+            let next = (at + draw(u, 1, 20)? as usize).min(end);
+            pieces.push(&text.as_bytes()[at..next]);
+            at = next;
+        }
+        let (events, is_torn) = events_of(&pieces);
+        assert_eq!(events[..], whole[..events.len()]);
+        let passed: usize = events.iter().map(String::len).sum();
+        assert_eq!(is_torn, passed < end);
+        Ok(())
+    });
+}
+
+fn events_of(pieces: &[&[u8]]) -> (Vec<String>, bool) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        while let Some(event) = splitter.next_event() {
+            events.push(String::from_utf8_lossy(&event.bytes).into_owned());
+        }
+    }
+    (events, splitter.is_torn())
+}
+
+#[test]
+fn event_ids_are_read_where_they_stand() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"ver: 3\nid: 12\ndata: id: 9\n\ndata: none\n\nid: no\n\n");
+    let mut ids = Vec::new();
+    while let Some(event) = splitter.next_event() {
+        ids.push(event.id);
+    }
+    assert_eq!(ids, [Some(12), None, None]);
+}
+
+/// A burst: more callers than slots. Whoever can still get its first event on time
+/// may wait that long and no longer; who comes back late does not wait at all.
+#[test]
+fn waiting_ends_where_the_first_event_would_be_late() {
+    let pool = PoolKey {
+        service: "s".into(),
+        model: None,
+    };
+    let mut clock = FirstEventClock::default();
+    assert_eq!(clock.longest_wait(&pool, 300), Duration::from_millis(150));
+    for _ in 0..200 {
+        clock.observe(&pool, Duration::from_millis(180));
+    }
+    let wait = clock.longest_wait(&pool, 300).as_millis();
+    assert!((119..=121).contains(&wait), "{wait}");
+    for _ in 0..200 {
+        clock.observe(&pool, Duration::from_millis(400));
+    }
+    assert_eq!(clock.longest_wait(&pool, 300), Duration::ZERO);
+
+    let mut watch = ReturnWatch::default();
+    let route = "r".into();
+    let ages: Vec<u64> = [6_000, 5_900, 6_000, 4_100].map(|ms| watch.observe(&route, ms)).into();
+    assert_eq!(ages, [0, 100, 0, 1_900]);
+}
