--- /dev/null
+++ b/cli/src/commands/explain.rs
@@ -0,0 +1,186 @@
+//! `jujube explain`: the story of a request from the log lines of all processes.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::io::Read;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::CommandError;
+
+/// Time before a request within which decisions on its endpoints may explain it.
+const BEFORE_MS: u64 = 5_000;
+/// The same after its end, for what was found out late.
+const AFTER_MS: u64 = 1_000;
+/// Fields that every line has, told apart from what it says.
+const COMMON_FIELDS: [&str; 5] = ["kind", "process", "request", "unix_ms", "up_ms"];
+/// Kinds that concern a whole process rather than one endpoint.
+const PROCESS_KINDS: [&str; 7] = [
+    "config",
+    "dependency",
+    "evacuation",
+    "lease",
+    "reload",
+    "start",
+    "stop",
+];
+
+/// One line of the story.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StoryLine {
+    /// Unix millisecond by the clock of the process.
+    pub unix_ms: u64,
+    /// Process that wrote it.
+    pub process: String,
+    /// What it is about.
+    pub kind: String,
+    /// Whether it names the request itself.
+    pub is_own: bool,
+    /// Its other fields.
+    pub fields: Map<String, Value>,
+}
+
+/// All lines that concern a request, in order of time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ExplainReport {
+    /// The request.
+    pub request: String,
+    /// The lines.
+    pub lines: Vec<StoryLine>,
+}
+
+/// Reads `files`, or standard input, and collects what concerns `request`.
+pub fn explain(request: &str, files: &[PathBuf]) -> Result<ExplainReport, CommandError> {
+    let mut text = String::new();
+    if files.is_empty() {
+        std::io::stdin()
+            .read_to_string(&mut text)
+            .map_err(|source| unreadable(Path::new("standard input"), source))?;
+    }
+    for file in files {
+        let bytes = std::fs::read(file).map_err(|source| unreadable(file, source))?;
+        text.push_str(&String::from_utf8_lossy(&bytes));
+        text.push('\n');
+    }
+    Ok(collect(request, &text))
+}
+
+fn unreadable(path: &Path, source: std::io::Error) -> CommandError {
+    CommandError::Read {
+        path: path.to_owned(),
+        source,
+    }
+}
+
+fn collect(request: &str, text: &str) -> ExplainReport {
+    let lines: Vec<StoryLine> = text
+        .lines()
+        .filter_map(|line| parse(request, line))
+        .collect();
+    let own = || lines.iter().filter(|line| line.is_own);
+    let started = own().map(StoryLine::begun_ms).min().unwrap_or(0);
+    let ended = own().map(|line| line.unix_ms).max().unwrap_or(0);
+    let processes: BTreeSet<&str> = own().map(|line| line.process.as_str()).collect();
+    let endpoints: BTreeSet<&str> = own().flat_map(StoryLine::endpoints).collect();
+    let mut story: Vec<StoryLine> = Vec::new();
+    for line in &lines {
+        let is_near = line.unix_ms + BEFORE_MS >= started && line.unix_ms <= ended + AFTER_MS;
+        let is_of_process = processes.contains(line.process.as_str())
+            && PROCESS_KINDS.contains(&line.kind.as_str());
+        let is_of_endpoint = !line.fields.contains_key("runs")
+            && line
+                .endpoints()
+                .any(|endpoint| endpoints.contains(endpoint));
+        if line.is_own || (is_near && !own_of_other(line) && (is_of_process || is_of_endpoint)) {
+            story.push(line.clone());
+        }
+    }
+    story.sort_by_key(|line| line.unix_ms);
+    ExplainReport {
+        request: request.to_owned(),
+        lines: story,
+    }
+}
+
+/// Tells whether a line is about another request.
+fn own_of_other(line: &StoryLine) -> bool {
+    !line.is_own && line.fields.contains_key("request")
+}
+
+/// Reads a line; whatever a collector has put before the object is passed over.
+fn parse(request: &str, line: &str) -> Option<StoryLine> {
+    let start = line.find('{')?;
+    let value: Value = serde_json::from_str(&line[start..]).ok()?;
+    let Value::Object(mut fields) = value else {
+        return None;
+    };
+    let text = |fields: &Map<String, Value>, key: &str| {
+        let value = fields.get(key).and_then(Value::as_str);
+        value.unwrap_or_default().to_owned()
+    };
+    let is_own = fields.get("request").and_then(Value::as_str) == Some(request);
+    let story = StoryLine {
+        unix_ms: fields.get("unix_ms")?.as_u64()?,
+        process: text(&fields, "process"),
+        kind: text(&fields, "kind"),
+        is_own,
+        fields: Map::new(),
+    };
+    for key in COMMON_FIELDS {
+        if key == "request" && !is_own {
+            continue;
+        }
+        fields.remove(key);
+    }
+    fields.retain(|_, value| !value.is_null());
+    Some(StoryLine { fields, ..story })
+}
+
+impl StoryLine {
+    /// Returns when what the line tells began.
+    fn begun_ms(&self) -> u64 {
+        let total = self.fields.get("total_ms").and_then(Value::as_u64);
+        self.unix_ms.saturating_sub(total.unwrap_or(0))
+    }
+
+    /// Returns the endpoints that the line names.
+    fn endpoints(&self) -> impl Iterator<Item = &str> {
+        let keys = ["endpoint", "from", "to", "lost"];
+        keys.into_iter()
+            .filter_map(|key| self.fields.get(key)?.as_str())
+    }
+}
+
+impl fmt::Display for ExplainReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.lines.iter().all(|line| !line.is_own) {
+            let id = &self.request;
+            return writeln!(
+                formatter,
+                "no line names request {id}; was it left out or elsewhere?"
+            );
+        }
+        let first = self.lines.first().map_or(0, |line| line.unix_ms);
+        for line in &self.lines {
+            let mark = if line.is_own { '*' } else { ' ' };
+            let after = line.unix_ms - first;
+            write!(
+                formatter,
+                "{mark} +{after:>5} ms  {:<14} {:<10}",
+                line.process, line.kind
+            )?;
+            for (key, value) in &line.fields {
+                match value.as_str() {
+                    Some(text) => write!(formatter, " {key}={text:?}")?,
+                    None => write!(formatter, " {key}={value}")?,
+                }
+            }
+            writeln!(formatter)?;
+        }
+        Ok(())
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -43,6 +43,7 @@
     Drain(DrainArgs),
     Show(ShowArgs),
     Status(StatusArgs),
+    Explain(ExplainArgs),
 }
 
 /// Check a folder of configuration files; touches nothing.
@@ -115,6 +116,23 @@
 #[argh(subcommand, name = "status")]
 struct StatusArgs {}
 
+/// Tell the story of a request from the log lines of all processes.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "jujube explain 9c41d07be2a35f68 edge-1.log edge-2.log",
+    example = "cat edge-*.log | jujube explain 9c41d07be2a35f68 --json"
+)]
+struct ExplainArgs {
+    /// id of the request
+    #[argh(positional)]
+    request: String,
+    /// log files; standard input when none is given
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
 fn drain_kind(text: &str) -> Result<String, String> {
     match text {
         "zone" | "vm" | "endpoint" => Ok(text.to_owned()),
@@ -154,6 +172,10 @@
             json,
         )),
         Command::Show(_) => Ok(text(&jujube::show(&store).await?, json)),
+        Command::Explain(explain) => {
+            let report = jujube::explain(&explain.request, &explain.files)?;
+            Ok(text(&report, json))
+        }
         Command::Status(_) => Ok(text(&jujube::status(&store).await?, json)),
     }
 }
--- a/gateway/src/belief_board.rs
+++ b/gateway/src/belief_board.rs
@@ -119,7 +119,12 @@
 
     /// Returns an endpoint.
     pub(crate) fn endpoint(&self, id: &EndpointId) -> Option<EndpointRecord> {
-        self.state.lock().expect("belief lock").table.get(id).cloned()
+        self.state
+            .lock()
+            .expect("belief lock")
+            .table
+            .get(id)
+            .cloned()
     }
 }
 
--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -35,8 +35,6 @@
 use crate::plain_call::PlainCall;
 use crate::stream_call::StreamCall;
 
-/// Time within which a router that starts has its configuration, mostly.
-const START_PAUSE: Duration = Duration::from_millis(400);
 /// Wait that is assumed for callers that do not say how long they wait.
 const USUAL_PATIENCE_MS: u64 = 30_000;
 
@@ -61,7 +59,9 @@
         let Some(config) = view.config else {
             let reason = "this router has no configuration yet";
             let answer = OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
-            return Err(answer.with_retry_at(received_at + START_PAUSE));
+            let patience_ms = head.patience_ms.unwrap_or(USUAL_PATIENCE_MS);
+            let patience = Duration::from_millis(patience_ms);
+            return Err(answer.with_retry_at(caller_request::return_after_start(patience)));
         };
         let path = request.uri().path().to_owned();
         let host = host_of(&request);
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -96,6 +96,13 @@
     }
 }
 
+/// Returns when a caller of a router that has no configuration should come back:
+/// late within its patience, since a store that is away stays so for seconds.
+pub(crate) fn return_after_start(patience: Duration) -> Instant {
+    let spread = 0.6 + 0.4 * fastrand::f64();
+    Instant::now() + patience.mul_f64(RETURN_SHARE * spread)
+}
+
 /// A request that was refused at the door.
 pub(crate) struct DoorRefusal {
     pub(crate) answer: OwnAnswer,
--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -61,7 +61,10 @@
     taken: &TakenTarget,
     resume_after: Option<u64>,
 ) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
-    let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
+    let path = request
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
     let left = request.deadline.saturating_duration_since(Instant::now());
     let head = EndpointHead {
         left_ms: left.as_millis() as u64,
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -78,7 +78,10 @@
     /// Marks an endpoint as one that does not answer, for `span`.
     pub(crate) fn mark_lost_for(&self, endpoint: &EndpointId, span: Duration) {
         let until = Instant::now() + span;
-        self.lost.lock().expect("lost lock").insert(endpoint.clone(), until);
+        self.lost
+            .lock()
+            .expect("lost lock")
+            .insert(endpoint.clone(), until);
     }
 
     /// Forgets that an endpoint did not answer.
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -113,7 +113,8 @@
     let asked_at = Instant::now();
     let grace_ends = asked_at + Duration::from_millis(core.settings.grace_ms) - GRACE_MARGIN;
     core.is_stopping.store(true, Ordering::Relaxed);
-    core.log.write(LogKind::Stop, json!({"state": "leaving rotation"}));
+    core.log
+        .write(LogKind::Stop, json!({"state": "leaving rotation"}));
     session_keeper::end(&core).await;
     Timer::at((asked_at + LEAVE_ROTATION).min(grace_ends)).await;
     drop(accepting);
@@ -121,7 +122,10 @@
         Timer::after(DRAIN_PACE).await;
     }
     let left = open.load(Ordering::Relaxed);
-    core.log.write(LogKind::Stop, json!({"state": "stopped", "connections_cut": left}));
+    core.log.write(
+        LogKind::Stop,
+        json!({"state": "stopped", "connections_cut": left}),
+    );
     drop(serving);
     // The log is written by a thread of its own; what it still holds gets out.
     spdlog::default_logger().flush();
@@ -147,6 +151,7 @@
         settings.retry_ratio,
         settings.retry_fixed,
     );
+    let log = DecisionLog::new(settings.id.clone());
     Arc::new(GatewayCore {
         settings,
         parts,
@@ -163,7 +168,7 @@
         stalls: StallBoard::default(),
         queue: SlotQueue::default(),
         session: Session::default(),
-        log: DecisionLog::default(),
+        log,
         metrics: MetricPage::default(),
         is_stopping: false.into(),
         is_placer: false.into(),
@@ -202,7 +207,10 @@
             Ok(_) => return,
             Err(error) => {
                 let reason = error.to_string();
-                core.log.write(LogKind::Dependency, json!({"on": "signals", "reason": reason}));
+                core.log.write(
+                    LogKind::Dependency,
+                    json!({"on": "signals", "reason": reason}),
+                );
             }
         }
     }
--- a/gateway/src/metric_page.rs
+++ b/gateway/src/metric_page.rs
@@ -75,21 +75,45 @@
             registry_age_ms: Gauge::default(),
             registry: Registry::default(),
         };
-        registry.register("requests", "Requests by kind and outcome", page.ends.clone());
-        registry.register("calls", "Calls to the platform by kind and result", page.calls.clone());
-        registry.register("door_refusals", "Requests refused at the door", page.refusals.clone());
+        registry.register(
+            "requests",
+            "Requests by kind and outcome",
+            page.ends.clone(),
+        );
+        registry.register(
+            "calls",
+            "Calls to the platform by kind and result",
+            page.calls.clone(),
+        );
+        registry.register(
+            "door_refusals",
+            "Requests refused at the door",
+            page.refusals.clone(),
+        );
         registry.register("retries", "Requests sent once more", page.retries.clone());
         registry.register("resumes", "Streams resumed elsewhere", page.resumes.clone());
         registry.register("probes", "Probes of silent groups", page.probes.clone());
         registry.register("stalls", "Groups confirmed as lost", page.stalls.clone());
         let first = page.first_event_ms.clone();
         registry.register("first_event_ms", "Time to the first event", first);
-        registry.register("total_ms", "Time to the end of a request", page.total_ms.clone());
-        registry.register("waiting", "Requests that wait for a slot", page.waiting.clone());
+        registry.register(
+            "total_ms",
+            "Time to the end of a request",
+            page.total_ms.clone(),
+        );
+        registry.register(
+            "waiting",
+            "Requests that wait for a slot",
+            page.waiting.clone(),
+        );
         let targets = page.serving_targets.clone();
         registry.register("serving_targets", "Targets that take requests", targets);
         let age = page.registry_age_ms.clone();
-        registry.register("registry_age_ms", "Time since the registry was confirmed", age);
+        registry.register(
+            "registry_age_ms",
+            "Time since the registry was confirmed",
+            age,
+        );
         Self { registry, ..page }
     }
 }
@@ -132,8 +156,12 @@
         let metrics = &self.core.metrics;
         let view = self.core.board.view();
         metrics.waiting.set(self.core.queue.len() as i64);
-        metrics.serving_targets.set(view.targets.iter().count() as i64);
-        let age = view.registry_seen_at.map(|at| at.elapsed().as_millis() as i64);
+        metrics
+            .serving_targets
+            .set(view.targets.iter().count() as i64);
+        let age = view
+            .registry_seen_at
+            .map(|at| at.elapsed().as_millis() as i64);
         metrics.registry_age_ms.set(age.unwrap_or(-1));
         let mut text = String::new();
         let mut response = match encode(&mut text, &metrics.registry) {
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -50,7 +50,8 @@
                 let mut loads = core.loads.lock().expect("load lock");
                 loads.expire(Instant::now());
                 let own = loads.own();
-                own.map(|(endpoint, load)| (endpoint.clone(), *load)).collect()
+                own.map(|(endpoint, load)| (endpoint.clone(), *load))
+                    .collect()
             };
             let placer = core.session.placer_right().map(|right| right.fence);
             tell_all(&core, PeerMessage::Loads { loads, placer }).await;
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -45,7 +45,9 @@
             };
             // A lease may lapse here and hold again under the same fence; the
             // planner that numbered groups under that fence is kept.
-            let is_same = term.as_ref().is_some_and(|(fence, _)| *fence == right.fence);
+            let is_same = term
+                .as_ref()
+                .is_some_and(|(fence, _)| *fence == right.fence);
             if !is_same {
                 let planner = ReplicaPlanner::new(right.fence);
                 term = Some((right.fence, Arc::new(Mutex::new(planner))));
@@ -68,8 +70,7 @@
     }
     let lost: BTreeSet<EndpointId> = core.lost_endpoints();
     let table = core.board.table();
-    let has_traffic =
-        !core.settings.is_first_start || core.has_traffic.load(Ordering::Relaxed);
+    let has_traffic = !core.settings.is_first_start || core.has_traffic.load(Ordering::Relaxed);
     let input = PlannerInput {
         table: &table,
         groups: &view.groups,
@@ -92,7 +93,10 @@
     planner: &SharedPlanner,
     order: PlannedOrder,
 ) {
-    let is_valid = core.session.placer_right().is_some_and(|right| right.fence == fence);
+    let is_valid = core
+        .session
+        .placer_right()
+        .is_some_and(|right| right.fence == fence);
     if !is_valid {
         return;
     }
@@ -108,7 +112,8 @@
             (OrderAnswer::Unanswered, Some(error.to_string()))
         }
     };
-    core.metrics.note_call(order.order.name(), &answer.to_string());
+    core.metrics
+        .note_call(order.order.name(), &answer.to_string());
     if answer == OrderAnswer::Fenced {
         core.session.end_term(fence);
     }
@@ -149,5 +154,7 @@
         }
     }
     let control = &core.parts.control;
-    control.order(order, fence, expected_sequence, deadline).await
+    control
+        .order(order, fence, expected_sequence, deadline)
+        .await
 }
--- a/gateway/src/plain_call.rs
+++ b/gateway/src/plain_call.rs
@@ -122,7 +122,8 @@
         let answer = match endpoint_call::send(&self.core, &self.request, taken, None).await {
             Ok(answer) => answer,
             Err(error) if !error.was_sent => {
-                self.core.mark_lost_for(&taken.target.endpoint, PLAIN_LOST_FOR);
+                self.core
+                    .mark_lost_for(&taken.target.endpoint, PLAIN_LOST_FOR);
                 return AttemptEnd::NotRun(error);
             }
             Err(error) => return AttemptEnd::MayHaveRun(error),
@@ -186,7 +187,9 @@
 
     fn end_answered(&self, response: Response<ReplyBody>, endpoint: &str) -> Response<ReplyBody> {
         let request = &self.request;
-        self.core.metrics.note_end(&request.route, "answered", request.age_ms());
+        self.core
+            .metrics
+            .note_end(&request.route, "answered", request.age_ms());
         self.core.log.write(
             LogKind::Answered,
             json!({
@@ -219,10 +222,17 @@
     runs: u32,
 ) {
     let view = core.board.view();
-    let kind = if runs == 0 { LogKind::Refused } else { LogKind::Failed };
+    let kind = if runs == 0 {
+        LogKind::Refused
+    } else {
+        LogKind::Failed
+    };
     let outcome = answer.outcome.to_string();
-    core.metrics.note_end(&request.route, &outcome, request.age_ms());
-    let registry_age = view.registry_seen_at.map(|at| at.elapsed().as_millis() as u64);
+    core.metrics
+        .note_end(&request.route, &outcome, request.age_ms());
+    let registry_age = view
+        .registry_seen_at
+        .map(|at| at.elapsed().as_millis() as u64);
     core.log.write(
         kind,
         json!({
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -83,7 +83,9 @@
     pub(crate) fn placer_right(&self) -> Option<PlacerRight> {
         let state = self.state.lock().expect("session lock");
         let fence = state.lock_version?;
-        let is_valid = state.valid_until.is_some_and(|until| BootInstant::now() < until);
+        let is_valid = state
+            .valid_until
+            .is_some_and(|until| BootInstant::now() < until);
         let is_store_away = state.failures >= AWAY_AFTER;
         let is_refused = state.refused.is_some_and(|refused| refused >= fence);
         ((is_valid || is_store_away) && !is_refused).then_some(PlacerRight { fence })
@@ -98,7 +100,9 @@
     /// Takes the fence of a peer that forms groups; an earlier one here ends.
     pub(crate) fn observe_peer_fence(&self, fence: Fence) {
         let own = self.state.lock().expect("session lock").lock_version;
-        if let Some(own) = own && own < fence {
+        if let Some(own) = own
+            && own < fence
+        {
             self.end_term(own);
         }
     }
@@ -132,10 +136,16 @@
     let Some(lease) = lease else {
         return;
     };
-    let ended = core.parts.store.end_lease(lease, Instant::now() + CALL_LIMIT);
+    let ended = core
+        .parts
+        .store
+        .end_lease(lease, Instant::now() + CALL_LIMIT);
     if let Err(error) = ended.await {
         let reason = error.to_string();
-        core.log.write(LogKind::Lease, json!({"lease": lease, "state": "not ended", "reason": reason}));
+        core.log.write(
+            LogKind::Lease,
+            json!({"lease": lease, "state": "not ended", "reason": reason}),
+        );
     }
 }
 
@@ -199,8 +209,13 @@
     let deadline = Instant::now() + CALL_LIMIT;
     match core.parts.store.transact(change, deadline).await {
         Ok(version) => {
-            core.session.state.lock().expect("session lock").lock_version = Some(version);
-            core.log.write(LogKind::Lease, json!({"placer": true, "fence": version}));
+            core.session
+                .state
+                .lock()
+                .expect("session lock")
+                .lock_version = Some(version);
+            core.log
+                .write(LogKind::Lease, json!({"placer": true, "fence": version}));
             Ok(())
         }
         // Somebody else was faster; the watch will show who.
--- a/gateway/src/silence_loop.rs
+++ b/gateway/src/silence_loop.rs
@@ -21,7 +21,7 @@
 /// Pause between two looks at the streams.
 const LOOK_PACE: Duration = Duration::from_millis(20);
 /// Time for a probe; a member that lives answers within a round trip of 3 ms.
-const PROBE_LIMIT: Duration = Duration::from_millis(60);
+const PROBE_LIMIT: Duration = Duration::from_millis(45);
 
 /// Why a group is probed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -65,8 +65,16 @@
     core.mark_lost(&member);
     core.metrics.stalls.inc();
     let streams = core.stalls.give_up(&target.endpoint);
-    log_verdict(core, &target, cause, "lost", Some((&member, &reason, streams)));
-    if let Some(group) = target.group && cause == ProbeCause::Silence {
+    log_verdict(
+        core,
+        &target,
+        cause,
+        "lost",
+        Some((&member, &reason, streams)),
+    );
+    if let Some(group) = target.group
+        && cause == ProbeCause::Silence
+    {
         let message = PeerMessage::Silent {
             endpoint: target.endpoint,
             group,
@@ -111,7 +119,9 @@
     match control.probe(address, deadline).await {
         Ok(report) => {
             let key = report.membership.map(|membership| membership.key);
-            let found = key.as_ref().map_or("no group".to_owned(), ToString::to_string);
+            let found = key
+                .as_ref()
+                .map_or("no group".to_owned(), ToString::to_string);
             (key != *group).then(|| format!("it is in {found}"))
         }
         Err(error) => Some(error.to_string()),
--- a/gateway/src/stall_board.rs
+++ b/gateway/src/stall_board.rs
@@ -99,7 +99,9 @@
         let Some(head) = state.heads.get_mut(endpoint) else {
             return;
         };
-        if let Some(stream) = head.streams.remove(&number) && stream.has_started {
+        if let Some(stream) = head.streams.remove(&number)
+            && stream.has_started
+        {
             head.watch.stream_ended();
         }
         if head.streams.is_empty() {
@@ -116,7 +118,9 @@
                 continue;
             }
             let waiting = head.streams.values().filter(|stream| !stream.has_started);
-            let first_due = waiting.map(|stream| stream.sent_at + FIRST_EVENT_SILENCE).min();
+            let first_due = waiting
+                .map(|stream| stream.sent_at + FIRST_EVENT_SILENCE)
+                .min();
             let is_silent = head.watch.silent_at().is_some_and(|at| now >= at);
             // A first event may be late because of a long queue; events of other
             // streams show that the group works.
@@ -176,6 +180,9 @@
     /// Tells whether a head is silent at the moment.
     pub(crate) fn is_suspect(&self, endpoint: &EndpointId) -> bool {
         let state = self.state.lock().expect("stall lock");
-        state.heads.get(endpoint).is_some_and(|head| head.is_suspect)
+        state
+            .heads
+            .get(endpoint)
+            .is_some_and(|head| head.is_suspect)
     }
 }
--- a/gateway/src/state_log.rs
+++ b/gateway/src/state_log.rs
@@ -32,7 +32,9 @@
     for summary in view.groups.groups.values() {
         let state = summary.head_state();
         let state = state.map_or("headless".to_owned(), |state| state.to_string());
-        *groups.entry(format!("{} {state}", summary.model)).or_default() += 1;
+        *groups
+            .entry(format!("{} {state}", summary.model))
+            .or_default() += 1;
         if summary.is_serving() {
             *serving.entry(summary.model.to_string()).or_default() += 1;
         }
@@ -50,7 +52,9 @@
     let own: u32 = loads.own().map(|(_, load)| load.requests).sum();
     let peers = loads.peer_count();
     drop(loads);
-    let age = view.registry_seen_at.map(|at| at.elapsed().as_millis() as u64);
+    let age = view
+        .registry_seen_at
+        .map(|at| at.elapsed().as_millis() as u64);
     core.log.write(
         LogKind::State,
         json!({
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -108,7 +108,10 @@
     failures: &mut u32,
 ) -> Result<Never, StoreError> {
     let prefix = sink.prefix();
-    let read = core.parts.store.read_prefix(&prefix, Instant::now() + READ_LIMIT);
+    let read = core
+        .parts
+        .store
+        .read_prefix(&prefix, Instant::now() + READ_LIMIT);
     let range = note(core, "read", read.await)?;
     let mut as_of = range.as_of;
     if *failures >= LOST_AFTER {
@@ -132,12 +135,9 @@
     }
 }
 
-fn note<T>(
-    core: &GatewayCore,
-    call: &str,
-    result: Result<T, StoreError>,
-) -> Result<T, StoreError> {
-    core.metrics.note_call(call, if result.is_ok() { "ok" } else { "failed" });
+fn note<T>(core: &GatewayCore, call: &str, result: Result<T, StoreError>) -> Result<T, StoreError> {
+    core.metrics
+        .note_call(call, if result.is_ok() { "ok" } else { "failed" });
     result
 }
 
@@ -241,7 +241,11 @@
 impl RegistrySink {
     fn decode(&self, core: &GatewayCore, item: &StoredItem) -> Option<EndpointRecord> {
         let id: EndpointId = core.parts.dialect.endpoint_of_key(&item.key)?;
-        match core.parts.dialect.decode_endpoint(&id, &item.value, Instant::now()) {
+        match core
+            .parts
+            .dialect
+            .decode_endpoint(&id, &item.value, Instant::now())
+        {
             Ok(record) => Some(record),
             Err(error) => {
                 core.log.write(
@@ -327,7 +331,11 @@
             PLACER_PACE
         } else {
             let has_traffic = core.has_traffic.load(Ordering::Relaxed);
-            if has_traffic { REGISTRY_PACE } else { START_PACE }
+            if has_traffic {
+                REGISTRY_PACE
+            } else {
+                START_PACE
+            }
         }
     }
 }
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -87,7 +87,9 @@
     /// Notes that events have arrived.
     pub(crate) fn observe_event(&mut self) {
         self.taken.note_answered();
-        self.core.stalls.observe_event(&self.taken.target.endpoint, self.number);
+        self.core
+            .stalls
+            .observe_event(&self.taken.target.endpoint, self.number);
     }
 
     /// Returns the endpoint.
@@ -98,7 +100,9 @@
 
 impl Drop for StreamEntry {
     fn drop(&mut self) {
-        self.core.stalls.leave(&self.taken.target.endpoint, self.number);
+        self.core
+            .stalls
+            .leave(&self.taken.target.endpoint, self.number);
     }
 }
 
@@ -205,7 +209,11 @@
             if lost_signal.recv().await.is_err() {
                 std::future::pending::<()>().await;
             }
-            Err(CallError::sent(CallStep::Send, address, "the group fell silent"))
+            Err(CallError::sent(
+                CallStep::Send,
+                address,
+                "the group fell silent",
+            ))
         };
         let send = endpoint_call::send(&self.core, &self.request, &entry.taken, after);
         let answer = match send.or(lost).await {
@@ -218,7 +226,11 @@
         };
         let status = answer.response.status();
         if answer.head.was_not_run {
-            let error = CallError::sent(CallStep::Decode, address, format!("status {status}, not run"));
+            let error = CallError::sent(
+                CallStep::Decode,
+                address,
+                format!("status {status}, not run"),
+            );
             return RunEnd::NotRun(error);
         }
         if !status.is_success() {
@@ -264,10 +276,7 @@
         }))
     }
 
-    async fn read_failure(
-        &self,
-        response: Response<jujuberoad_node::http::PooledBody>,
-    ) -> RunEnd {
+    async fn read_failure(&self, response: Response<jujuberoad_node::http::PooledBody>) -> RunEnd {
         use http_body_util::BodyExt;
         let (parts, body) = response.into_parts();
         match by_deadline(self.request.deadline, body.collect()).await {
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -182,8 +182,13 @@
         self.has_ended = true;
         let request = &self.call.request;
         let core = &self.call.core;
-        core.metrics.note_end(&request.route, outcome, request.age_ms());
-        let kind = if outcome == "answered" { LogKind::Answered } else { LogKind::Failed };
+        core.metrics
+            .note_end(&request.route, outcome, request.age_ms());
+        let kind = if outcome == "answered" {
+            LogKind::Answered
+        } else {
+            LogKind::Failed
+        };
         core.log.write(
             kind,
             json!({
--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -56,12 +56,11 @@
 
 impl TakenTarget {
     /// Takes the best target, waiting until `need.give_up_at` for one.
-    pub(crate) async fn take(
-        core: &Arc<GatewayCore>,
-        need: &TargetNeed,
-    ) -> Result<Self, NoTarget> {
+    pub(crate) async fn take(core: &Arc<GatewayCore>, need: &TargetNeed) -> Result<Self, NoTarget> {
         let ahead = core.queue.ahead(&need.pool, need.priority);
-        if (ahead == 0 || need.is_resumed) && let Some(taken) = Self::try_take(core, need) {
+        if (ahead == 0 || need.is_resumed)
+            && let Some(taken) = Self::try_take(core, need)
+        {
             return Ok(taken);
         }
         let view = core.board.view();
@@ -70,14 +69,21 @@
         if serving == 0 {
             return Err(NoTarget::NoneServes);
         }
-        if targets.iter().all(|target| need.tried.contains(&target.endpoint)) {
+        if targets
+            .iter()
+            .all(|target| need.tried.contains(&target.endpoint))
+        {
             return Err(NoTarget::AllTried);
         }
         // Each target frees a slot within the waiting time at best.
         if !need.is_resumed && ahead > serving {
             return Err(NoTarget::QueueFull);
         }
-        let priority = if need.is_resumed { 0 } else { need.priority + 1 };
+        let priority = if need.is_resumed {
+            0
+        } else {
+            need.priority + 1
+        };
         let place = core.queue.join(need.pool.clone(), priority);
         loop {
             let now = Instant::now();
@@ -86,7 +92,9 @@
             }
             let look_at = need.give_up_at.min(now + LOOK_AGAIN);
             by_deadline(look_at, place.wakeups.recv().or(std::future::pending())).await;
-            if place.is_first() && let Some(taken) = Self::try_take(core, need) {
+            if place.is_first()
+                && let Some(taken) = Self::try_take(core, need)
+            {
                 return Ok(taken);
             }
         }
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -86,8 +86,7 @@
             return false;
         };
         let is_current = record.incarnation == report.incarnation;
-        let is_news =
-            record.membership != report.membership || record.staged != report.staged;
+        let is_news = record.membership != report.membership || record.staged != report.staged;
         if !is_current || !is_news {
             return false;
         }
--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -135,7 +135,9 @@
     /// Takes the answer to an order.
     pub fn observe_answer(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
         let has_left = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
-        if let ReplicaOrder::Leave { key } = &order.order && has_left {
+        if let ReplicaOrder::Leave { key } = &order.order
+            && has_left
+        {
             self.left.insert(order.endpoint.clone(), key.clone());
         }
         let pause = match answer {
@@ -216,9 +218,7 @@
         let is_whole = summary.is_whole() && !has_lost;
         match summary.head_state() {
             Some(MemberState::Open) if is_whole && !summary.is_draining => members().collect(),
-            Some(MemberState::Ready | MemberState::Joining)
-                if is_whole && !summary.is_draining =>
-            {
+            Some(MemberState::Ready | MemberState::Joining) if is_whole && !summary.is_draining => {
                 let formation = Formation {
                     model: summary.model.clone(),
                     members: members().collect(),
@@ -322,7 +322,13 @@
             }
             bound.push(id.clone());
             let key = summary.key.clone();
-            self.push(id, ReplicaOrder::Leave { key }, "a member is lost", input, orders);
+            self.push(
+                id,
+                ReplicaOrder::Leave { key },
+                "a member is lost",
+                input,
+                orders,
+            );
         }
         bound
     }
@@ -384,7 +390,10 @@
             return formation.members;
         }
         for id in &formation.members {
-            let joined = input.table.get(id).and_then(|record| record.membership.as_ref());
+            let joined = input
+                .table
+                .get(id)
+                .and_then(|record| record.membership.as_ref());
             if joined.is_some_and(|membership| membership.key == *key) {
                 continue;
             }
@@ -538,7 +547,13 @@
         let order = ReplicaOrder::Stage {
             model: profile.model.clone(),
         };
-        self.push(&record.id, order, "the host holds no weights", input, orders);
+        self.push(
+            &record.id,
+            order,
+            "the host holds no weights",
+            input,
+            orders,
+        );
     }
 
     /// Chooses the model of an empty VM: the one of its domain, so that what is
@@ -573,9 +588,10 @@
             let count = counts.get(profile.model.as_str()).map_or(0, BTreeSet::len);
             count as f64 / profile.share.max(0.01)
         };
-        let settled = engine.models.iter().max_by_key(|profile| {
-            in_domain.get(profile.model.as_str()).copied().unwrap_or(0)
-        })?;
+        let settled = engine
+            .models
+            .iter()
+            .max_by_key(|profile| in_domain.get(profile.model.as_str()).copied().unwrap_or(0))?;
         if in_domain.contains_key(settled.model.as_str()) {
             return Some(settled);
         }
@@ -630,12 +646,13 @@
     members as f64 / profile.share.max(0.01)
 }
 
-fn by_domain<'a>(
-    records: &[&'a EndpointRecord],
-) -> BTreeMap<DomainId, Vec<&'a EndpointRecord>> {
+fn by_domain<'a>(records: &[&'a EndpointRecord]) -> BTreeMap<DomainId, Vec<&'a EndpointRecord>> {
     let mut domains: BTreeMap<DomainId, Vec<&EndpointRecord>> = BTreeMap::new();
     for record in records {
-        domains.entry(record.domain.clone()).or_default().push(record);
+        domains
+            .entry(record.domain.clone())
+            .or_default()
+            .push(record);
     }
     domains
 }
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -85,7 +85,11 @@
         service: "engines".into(),
         model: Some("m".into()),
     };
-    targets.pool(&pool).iter().map(|target| target.endpoint.to_string()).collect()
+    targets
+        .pool(&pool)
+        .iter()
+        .map(|target| target.endpoint.to_string())
+        .collect()
 }
 
 #[test]
@@ -200,7 +204,10 @@
             let inside = |at: &&u64| **at <= *end && **at + WINDOW_MS > *end;
             let made = requests.iter().filter(inside).count() as f64;
             let taken = retries.iter().filter(inside).count() as f64;
-            assert!(taken <= ratio * made + fixed, "{taken} of {made} at {end} ms");
+            assert!(
+                taken <= ratio * made + fixed,
+                "{taken} of {made} at {end} ms"
+            );
         }
         Ok(())
     });
@@ -256,7 +263,9 @@
             avoided: &|_| false,
             extra: 0,
         };
-        picker.pick(&targets, || 0.5).map(|target| target.endpoint.to_string())
+        picker
+            .pick(&targets, || 0.5)
+            .map(|target| target.endpoint.to_string())
     };
     let mut order = Vec::new();
     while let Some(endpoint) = pick(&loads) {
--- a/lib/tests/test_replica_planner.rs
+++ b/lib/tests/test_replica_planner.rs
@@ -84,7 +84,11 @@
         let sum: f64 = shares.iter().map(|share| share[index]).sum();
         sum / shares.len() as f64
     };
-    println!("served share of need: wide {:.3} slim {:.3}", mean(0), mean(1));
+    println!(
+        "served share of need: wide {:.3} slim {:.3}",
+        mean(0),
+        mean(1)
+    );
 }
 
 #[test]
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -51,7 +51,9 @@
         ("b.example", "/y"),
         ("c.example", "/x/"),
     ] {
-        let found = config.find_route(host, path).map(|route| route.name.as_str());
+        let found = config
+            .find_route(host, path)
+            .map(|route| route.name.as_str());
         lines.push(format!("{host}{path}: {}", found.unwrap_or("none")));
     }
     for key in ["k1", "k2", "k3", ""] {
@@ -69,8 +71,14 @@
     };
     let mut spec = route("r", "a.example", "/");
     spec.shares = vec![share("a", 90.0), share("none", 0.0), share("b", 10.0)];
-    let picked = |draw| spec.pick_service(draw).map(|share| share.service.to_string());
-    let picks: Vec<_> = [0.0, 0.5, 0.899, 0.9, 0.999].into_iter().filter_map(picked).collect();
+    let picked = |draw| {
+        spec.pick_service(draw)
+            .map(|share| share.service.to_string())
+    };
+    let picks: Vec<_> = [0.0, 0.5, 0.899, 0.9, 0.999]
+        .into_iter()
+        .filter_map(picked)
+        .collect();
     assert_snapshot!(picks.join(" "), @"a a a b b");
     spec.shares.clear();
     assert_eq!(spec.pick_service(0.5), None);
@@ -80,11 +88,18 @@
 fn only_what_says_so_may_run_twice() {
     let mut spec = route("r", "a.example", "/");
     let mut lines = Vec::new();
-    for kind in [RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Streaming] {
+    for kind in [
+        RouteKind::Idempotent,
+        RouteKind::NonIdempotent,
+        RouteKind::Streaming,
+    ] {
         for is_resumable in [false, true] {
             spec.kind = kind;
             spec.is_resumable = is_resumable;
-            lines.push(format!("{kind} resumable={is_resumable}: {}", spec.is_repeatable()));
+            lines.push(format!(
+                "{kind} resumable={is_resumable}: {}",
+                spec.is_repeatable()
+            ));
         }
     }
     assert_snapshot!(lines.join("\n"));
@@ -161,6 +176,8 @@
 
     let mut watch = ReturnWatch::default();
     let route = "r".into();
-    let ages: Vec<u64> = [6_000, 5_900, 6_000, 4_100].map(|ms| watch.observe(&route, ms)).into();
+    let ages: Vec<u64> = [6_000, 5_900, 6_000, 4_100]
+        .map(|ms| watch.observe(&route, ms))
+        .into();
     assert_eq!(ages, [0, 100, 0, 1_900]);
 }
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -320,7 +320,10 @@
 
     fn advance(&mut self) {
         let now = self.now_ms;
-        let due: Vec<_> = self.late_orders.extract_if(.., |(at, ..)| *at <= now).collect();
+        let due: Vec<_> = self
+            .late_orders
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect();
         for (_, order, expected) in due {
             self.carry_out(&order, expected);
         }
@@ -387,9 +390,7 @@
             });
         }
         self.snapshots.push_back((self.now_ms, table));
-        while self.snapshots.len() > 1
-            && self.snapshots[1].0 + REGISTRY_LAG_MS <= self.now_ms
-        {
+        while self.snapshots.len() > 1 && self.snapshots[1].0 + REGISTRY_LAG_MS <= self.now_ms {
             self.snapshots.pop_front();
         }
     }
@@ -461,13 +462,19 @@
             return OrderAnswer::Conflict;
         }
         let answer = match &planned.order {
-            ReplicaOrder::Join { key, model, members } => self.join(&id, key, model, members),
+            ReplicaOrder::Join {
+                key,
+                model,
+                members,
+            } => self.join(&id, key, model, members),
             ReplicaOrder::Open { key } => self.open(&id, key),
             ReplicaOrder::Close { key, .. } => self.close(&id, key),
             ReplicaOrder::Leave { key } => self.leave(&id, key),
             ReplicaOrder::Stage { model } => self.stage(&id, model),
         };
-        if answer == OrderAnswer::Accepted && let Some(vm) = self.vms.get_mut(&id) {
+        if answer == OrderAnswer::Accepted
+            && let Some(vm) = self.vms.get_mut(&id)
+        {
             vm.sequence += 1;
         }
         answer
@@ -491,7 +498,11 @@
             }
             self.check_two(id, joined, key);
         }
-        let profile = self.plan.models.iter().find(|profile| profile.model == *model);
+        let profile = self
+            .plan
+            .models
+            .iter()
+            .find(|profile| profile.model == *model);
         let profile = profile.expect("a known model").clone();
         let span = if vm.model.as_ref() == Some(model) {
             200
@@ -573,7 +584,11 @@
 
     fn leave(&mut self, id: &EndpointId, key: &GroupKey) -> OrderAnswer {
         let vm = self.vms.get_mut(id).expect("a VM that lives");
-        if vm.membership.as_ref().is_some_and(|joined| joined.key == *key) {
+        if vm
+            .membership
+            .as_ref()
+            .is_some_and(|joined| joined.key == *key)
+        {
             vm.membership = None;
             vm.ready_at = None;
             vm.open_at = None;
@@ -591,7 +606,11 @@
         if vm.loading.is_some() {
             return OrderAnswer::Conflict;
         }
-        let profile = self.plan.models.iter().find(|profile| profile.model == *model);
+        let profile = self
+            .plan
+            .models
+            .iter()
+            .find(|profile| profile.model == *model);
         let profile = profile.expect("a known model").clone();
         self.begin_load(id, &profile);
         OrderAnswer::Accepted
@@ -600,7 +619,10 @@
     /// Begins a load; returns its span, which grows with those under way.
     fn begin_load(&mut self, id: &EndpointId, profile: &ModelProfile) -> u64 {
         let now = self.now_ms;
-        let loading = self.vms.values().filter(|vm| vm.is_alive && vm.loading.is_some());
+        let loading = self
+            .vms
+            .values()
+            .filter(|vm| vm.is_alive && vm.loading.is_some());
         let crowd = ((loading.count() + 1) as f64 / 7.0).max(1.0);
         let span = if self.has_traffic {
             (profile.load_ms as f64 * crowd) as u64
--- a/node/src/runtime/decision_log.rs
+++ b/node/src/runtime/decision_log.rs
@@ -7,6 +7,7 @@
 use std::time::UNIX_EPOCH;
 
 use serde_json::Value;
+use smol_str::SmolStr;
 use spdlog::info;
 use strum::EnumCount;
 
@@ -20,6 +21,7 @@
 /// The next line of a kind tells how many were left out. Lines go through the
 /// logger's queue, which drops them rather than let the caller wait.
 pub struct DecisionLog {
+    process: SmolStr,
     started: Instant,
     rates: Mutex<Vec<LineRate>>,
 }
@@ -31,8 +33,9 @@
     left_out: u64,
 }
 
-impl Default for DecisionLog {
-    fn default() -> Self {
+impl DecisionLog {
+    /// Opens the log of `process`, whose name every line bears.
+    pub fn new(process: SmolStr) -> Self {
         let now = Instant::now();
         let rate = LineRate {
             window_ends: now,
@@ -40,13 +43,12 @@
             left_out: 0,
         };
         Self {
+            process,
             started: now,
             rates: Mutex::new(vec![rate; LogKind::COUNT]),
         }
     }
-}
 
-impl DecisionLog {
     /// Writes a line with `fields`, a JSON object.
     pub fn write(&self, kind: LogKind, mut fields: Value) {
         let Some(left_out) = self.admit(kind) else {
@@ -58,8 +60,12 @@
             if left_out > 0 {
                 map.insert("left_out".to_owned(), left_out.into());
             }
-            map.insert("up_ms".to_owned(), (self.started.elapsed().as_millis() as u64).into());
+            map.insert(
+                "up_ms".to_owned(),
+                (self.started.elapsed().as_millis() as u64).into(),
+            );
             map.insert("unix_ms".to_owned(), unix_ms.into());
+            map.insert("process".to_owned(), self.process.as_str().into());
             map.insert("kind".to_owned(), kind.to_string().into());
         }
         info!("{fields}");
