placement: the right to give orders is a state machine of its own

Cause: whether a router may give orders was decided between locks of the shell. Ruled out: a change of behaviour (same cases).

--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -53,7 +53,7 @@
                 own.map(|(endpoint, load)| (endpoint.clone(), *load))
                     .collect()
             };
-            let placer = core.session.placer_right().map(|right| right.fence);
+            let placer = core.session.order_fence();
             tell_all(&core, PeerMessage::Loads { loads, placer }).await;
         }
     });
@@ -65,7 +65,7 @@
     as_of: Option<StoreVersion>,
     news: Vec<(EndpointId, EngineReport)>,
 ) {
-    let Some(right) = core.session.placer_right() else {
+    let Some(fence) = core.session.order_fence() else {
         return;
     };
     if news.is_empty() {
@@ -75,7 +75,7 @@
     runtime::spawn(async move {
         for reports in news.chunks(REPORTS_PER_MESSAGE) {
             let message = PeerMessage::Observed {
-                placer: right.fence,
+                placer: fence,
                 as_of,
                 reports: reports.to_vec(),
             };
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -35,9 +35,9 @@
         let mut term: Option<(Fence, SharedPlanner)> = None;
         loop {
             Timer::after(PLAN_PACE).await;
-            let right = core.session.placer_right();
-            let was_active = core.is_placer.swap(right.is_some(), Ordering::Relaxed);
-            let Some(right) = right else {
+            let current = core.session.order_fence();
+            let was_active = core.is_placer.swap(current.is_some(), Ordering::Relaxed);
+            let Some(fence) = current else {
                 if was_active {
                     core.log.write(LogKind::Lease, json!({"placer": false}));
                 }
@@ -45,12 +45,10 @@
             };
             // A lease may lapse here and hold again under the same fence; the
             // planner that numbered groups under that fence is kept.
-            let is_same = term
-                .as_ref()
-                .is_some_and(|(fence, _)| *fence == right.fence);
+            let is_same = term.as_ref().is_some_and(|(known, _)| *known == fence);
             if !is_same {
-                let planner = ReplicaPlanner::new(right.fence);
-                term = Some((right.fence, Arc::new(Mutex::new(planner))));
+                let planner = ReplicaPlanner::new(fence);
+                term = Some((fence, Arc::new(Mutex::new(planner))));
             }
             let Some((fence, planner)) = &term else {
                 continue;
@@ -93,10 +91,7 @@
     planner: &SharedPlanner,
     order: PlannedOrder,
 ) {
-    let is_valid = core
-        .session
-        .placer_right()
-        .is_some_and(|right| right.fence == fence);
+    let is_valid = core.session.order_fence() == Some(fence);
     if !is_valid {
         return;
     }
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -4,10 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use jujuberoad::fleet::OrderRight;
 use jujuberoad::ids::Fence;
 use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::RouterId;
@@ -23,7 +25,7 @@
 use serde_json::json;
 use smol::Timer;
 
-use crate::boot_clock::BootInstant;
+use crate::boot_clock;
 use crate::gateway_core::GatewayCore;
 use crate::store_watch::PrefixSink;
 
@@ -40,31 +42,18 @@
 /// Pause between two watches of the product's own keys: each router that comes or
 /// goes wakes all others.
 const OWN_PACE: Duration = Duration::from_millis(400);
-/// Failed calls in a row after which the store counts as away.
-const AWAY_AFTER: u32 = 1;
 /// Time for one call to the store.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 
-/// The right to give orders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PlacerRight {
-    pub(crate) fence: Fence,
-}
-
 /// What is known of leases and of the placer's lock.
 #[derive(Default)]
 pub(crate) struct SessionState {
     lease: Option<LeaseId>,
-    valid_until: Option<BootInstant>,
-    lock_version: Option<StoreVersion>,
-    /// Holder and version of the lock, as the store last showed it.
-    lock: Option<(String, StoreVersion)>,
+    right: OrderRight,
+    /// Whether the store shows a holder of the lock.
+    is_lock_held: bool,
     has_entry: bool,
     has_read: bool,
-    /// Failed calls in a row; the store is away rather than against us.
-    failures: u32,
-    /// A fence that an engine refused or a peer has overtaken; never used again.
-    refused: Option<Fence>,
 }
 
 /// Shared by the keeper and those who need its right.
@@ -74,37 +63,23 @@
 }
 
 impl Session {
-    /// Returns the right to give orders: the lease holds, or it may have lapsed
-    /// while the store answers nobody here and no later holder is known.
-    ///
-    /// Nobody can take the lock from a store that is down. Where only this router is
-    /// cut off from it, the next holder has a higher fence, which engines and peers
-    /// show.
-    pub(crate) fn placer_right(&self) -> Option<PlacerRight> {
-        let state = self.state.lock().expect("session lock");
-        let fence = state.lock_version?;
-        let is_valid = state
-            .valid_until
-            .is_some_and(|until| BootInstant::now() < until);
-        let is_store_away = state.failures >= AWAY_AFTER;
-        let is_refused = state.refused.is_some_and(|refused| refused >= fence);
-        ((is_valid || is_store_away) && !is_refused).then_some(PlacerRight { fence })
+    /// Returns the fence under which orders may be given now.
+    pub(crate) fn order_fence(&self) -> Option<Fence> {
+        self.lock().right.current(boot_clock::now())
     }
 
-    /// Ends the term of a fence that an engine has refused.
+    /// Ends the right under a fence that an engine has refused.
     pub(crate) fn end_term(&self, fence: Fence) {
-        let mut state = self.state.lock().expect("session lock");
-        state.refused = state.refused.max(Some(fence));
+        self.lock().right.end(fence);
     }
 
     /// Takes the fence of a peer that forms groups; an earlier one here ends.
     pub(crate) fn observe_peer_fence(&self, fence: Fence) {
-        let own = self.state.lock().expect("session lock").lock_version;
-        if let Some(own) = own
-            && own < fence
-        {
-            self.end_term(own);
-        }
+        self.lock().right.observe_peer(fence);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SessionState> {
+        self.state.lock().expect("session lock")
     }
 }
 
@@ -118,7 +93,7 @@
             let result = keep_once(&core).await;
             if let Err(error) = &result {
                 core.metrics.note_call("lease", "failed");
-                core.session.state.lock().expect("session lock").failures += 1;
+                core.session.lock().right.store_failed();
                 note_failure(&core, error);
             }
             Timer::after(RENEW_PACE).await;
@@ -129,8 +104,8 @@
 /// Gives the lease back, so that a standby takes over at once.
 pub(crate) async fn end(core: &GatewayCore) {
     let lease = {
-        let mut state = core.session.state.lock().expect("session lock");
-        state.lock_version = None;
+        let mut state = core.session.lock();
+        state.right.lock_lost();
         state.lease.take()
     };
     let Some(lease) = lease else {
@@ -151,9 +126,9 @@
 
 async fn keep_once(core: &GatewayCore) -> Result<(), StoreError> {
     let deadline = Instant::now() + CALL_LIMIT;
-    let asked_at = BootInstant::now();
+    let asked_at = boot_clock::now();
     let ttl_ms = LEASE_MS.max(core.settings.shortest_lease_ms);
-    let known = core.session.state.lock().expect("session lock").lease;
+    let known = core.session.lock().lease;
     let lease = match known {
         Some(lease) => {
             core.parts.store.renew_lease(lease, deadline).await?;
@@ -163,18 +138,18 @@
     };
     core.metrics.note_call("lease", "ok");
     {
-        let mut state = core.session.state.lock().expect("session lock");
+        let mut state = core.session.lock();
         state.lease = Some(lease);
-        state.failures = 0;
         // Counted from before the call, so it never outlasts the store's count.
-        state.valid_until = Some(asked_at.after(Duration::from_millis(ttl_ms)));
+        let valid_until = asked_at + Duration::from_millis(ttl_ms);
+        state.right.lease_renewed(valid_until);
     }
     write_entry(core, lease).await?;
     take_lock(core, lease).await
 }
 
 async fn write_entry(core: &GatewayCore, lease: LeaseId) -> Result<(), StoreError> {
-    if core.session.state.lock().expect("session lock").has_entry {
+    if core.session.lock().has_entry {
         return Ok(());
     }
     let key = format!("{ROUTER_PREFIX}{}", core.settings.id);
@@ -185,15 +160,15 @@
     };
     let deadline = Instant::now() + CALL_LIMIT;
     core.parts.store.transact(change, deadline).await?;
-    core.session.state.lock().expect("session lock").has_entry = true;
+    core.session.lock().has_entry = true;
     Ok(())
 }
 
 /// Takes the placer's lock if it is free.
 pub(crate) async fn take_lock(core: &GatewayCore, lease: LeaseId) -> Result<(), StoreError> {
     {
-        let state = core.session.state.lock().expect("session lock");
-        if state.lock_version.is_some() || state.lock.is_some() || !state.has_read {
+        let state = core.session.lock();
+        if state.right.fence().is_some() || state.is_lock_held || !state.has_read {
             return Ok(());
         }
     }
@@ -209,11 +184,7 @@
     let deadline = Instant::now() + CALL_LIMIT;
     match core.parts.store.transact(change, deadline).await {
         Ok(version) => {
-            core.session
-                .state
-                .lock()
-                .expect("session lock")
-                .lock_version = Some(version);
+            core.session.lock().right.lock_won(version);
             core.log
                 .write(LogKind::Lease, json!({"placer": true, "fence": version}));
             Ok(())
@@ -225,13 +196,11 @@
 }
 
 fn note_failure(core: &GatewayCore, error: &StoreError) {
-    let mut state = core.session.state.lock().expect("session lock");
-    let had_right = state.lock_version.is_some();
+    let mut state = core.session.lock();
+    let had_right = state.right.fence().is_some();
     if let StoreError::LeaseLapsed(_) = error {
-        state.failures = 0;
         state.lease = None;
-        state.valid_until = None;
-        state.lock_version = None;
+        state.right.lease_lapsed();
         state.has_entry = false;
     }
     drop(state);
@@ -248,12 +217,13 @@
     fn take(&self, core: &GatewayCore, item: &StoredItem) {
         let text = String::from_utf8_lossy(&item.value).into_owned();
         if item.key == PLACER_KEY {
-            let mut state = core.session.state.lock().expect("session lock");
+            let mut state = core.session.lock();
             // A write whose answer was lost shows here.
-            if text == core.settings.id && state.lease.is_some() && state.lock_version.is_none() {
-                state.lock_version = Some(item.version);
+            let is_own = text == core.settings.id && state.lease.is_some();
+            if is_own && state.right.fence().is_none() {
+                state.right.lock_won(item.version);
             }
-            state.lock = Some((text, item.version));
+            state.is_lock_held = true;
             return;
         }
         let Some(id) = item.key.strip_prefix(ROUTER_PREFIX) else {
@@ -273,14 +243,14 @@
 
     fn forget(&self, core: &GatewayCore, key: &str) {
         if key == PLACER_KEY {
-            let mut state = core.session.state.lock().expect("session lock");
-            state.lock = None;
-            state.lock_version = None;
+            let mut state = core.session.lock();
+            state.is_lock_held = false;
+            state.right.lock_lost();
         }
         if let Some(id) = key.strip_prefix(ROUTER_PREFIX) {
             core.peer_addresses.lock().expect("peer lock").remove(id);
             if id == core.settings.id {
-                core.session.state.lock().expect("session lock").has_entry = false;
+                core.session.lock().has_entry = false;
             }
         }
     }
@@ -307,7 +277,7 @@
         for item in &range.items {
             self.take(core, item);
         }
-        core.session.state.lock().expect("session lock").has_read = true;
+        core.session.lock().has_read = true;
     }
 
     fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, _as_of: StoreVersion) {
--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -162,7 +162,7 @@
 }
 
 fn note_cold_send(core: &GatewayCore, target: &ServingTarget, now: Instant) {
-    if !target.cold_until.is_some_and(|until| now < until) {
+    if target.cold_until.is_none_or(|until| now >= until) {
         return;
     }
     let mut sends = core.cold_sends.lock().expect("cold lock");
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -17,6 +17,7 @@
 use jujuberoad::fleet::GroupMembership;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::MemberState;
+use jujuberoad::fleet::OrderRight;
 use jujuberoad::fleet::PoolKey;
 use jujuberoad::fleet::RetryAllowance;
 use jujuberoad::fleet::ServingTarget;
@@ -286,3 +287,37 @@
     loads.expire(until);
     assert_eq!(pick(&loads).as_deref(), Some("near"));
 }
+
+#[test]
+fn orders_are_given_under_a_lease_or_while_nobody_can_take_the_lock() {
+    let at = Duration::from_millis;
+    let mut right = OrderRight::default();
+    right.lease_renewed(at(2_000));
+    assert_eq!(right.current(at(0)), None);
+    right.lock_won(7);
+    let mut lines = Vec::new();
+    let mut note = |what: &str, right: &OrderRight, now: u64| {
+        lines.push(format!("{what}: {:?}", right.current(at(now))));
+    };
+    note("leased", &right, 1_999);
+    note("woken from a freeze", &right, 2_000);
+    let mut away = right.clone();
+    away.store_failed();
+    note("store away", &away, 9_000);
+    let mut overtaken = away.clone();
+    overtaken.observe_peer(6);
+    note("a peer with a lower fence", &overtaken, 9_000);
+    overtaken.observe_peer(8);
+    note("a peer with a higher fence", &overtaken, 9_000);
+    overtaken.lease_renewed(at(12_000));
+    note("its lease holds again", &overtaken, 9_000);
+    let mut refused = away.clone();
+    refused.end(7);
+    note("refused by an engine", &refused, 9_000);
+    refused.lock_lost();
+    refused.lock_won(9);
+    note("the lock won anew", &refused, 9_000);
+    away.lease_lapsed();
+    note("lapsed by the store's word", &away, 9_000);
+    assert_snapshot!(lines.join("\n"));
+}
