placement: a stopping placer hands its right over; wrong endpoints are left alone

Ruled out: the outage itself (repairs went on until the stop), slow engines. Change: the right is kept until the end and handed to a peer that cannot reach the store either; a planner numbers its groups from a part of the fence's numbers of its own; an endpoint that answers 421 is left alone for a second and asked for its state.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -20,7 +20,10 @@
 use jujuberoad::ids::RouterId;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
+use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::DecisionLog;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
 
 use crate::belief_board::BeliefBoard;
 use crate::gateway_parts::GatewayParts;
@@ -34,6 +37,12 @@
 /// registry shows a change before; entries of the dead lapse after 3.6 s.
 const LOST_FOR: Duration = Duration::from_millis(4_500);
 
+/// Time for which an endpoint that was the wrong one to ask is left alone, unless
+/// the registry shows a change before; a watch of the registry takes as long.
+const MISDIRECTED_FOR: Duration = Duration::from_millis(1_000);
+/// Time for the report of such an endpoint.
+const REPORT_LIMIT: Duration = Duration::from_millis(200);
+
 /// Shared state of one gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: GatewaySettings,
@@ -84,6 +93,31 @@
             .insert(endpoint.clone(), until);
     }
 
+    /// Notes that an endpoint says it is not the one to ask: its group has changed
+    /// and the registry has not shown it yet.
+    pub(crate) fn note_misdirected(self: &Arc<Self>, target: &ServingTarget) {
+        self.mark_lost_for(&target.endpoint, MISDIRECTED_FOR);
+        if target.group.is_none() {
+            return;
+        }
+        let core = Arc::clone(self);
+        let (endpoint, address) = (target.endpoint.clone(), target.address);
+        runtime::spawn(async move {
+            let deadline = Instant::now() + REPORT_LIMIT;
+            core.metrics.probes.inc();
+            match core.parts.control.probe(address, deadline).await {
+                Ok(report) => {
+                    core.board.apply_report(&endpoint, report);
+                }
+                // It stays marked, and the registry tells more in time.
+                Err(error) => core.log.write(
+                    LogKind::Suspicion,
+                    json!({"endpoint": endpoint, "cause": "misdirected", "reason": error.to_string()}),
+                ),
+            }
+        });
+    }
+
     /// Forgets that an endpoint did not answer.
     pub(crate) fn clear_lost(&self, endpoint: &EndpointId) {
         self.lost.lock().expect("lost lock").remove(endpoint);
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -121,6 +121,7 @@
     while open.load(Ordering::Relaxed) > 0 && Instant::now() < grace_ends {
         Timer::after(DRAIN_PACE).await;
     }
+    session_keeper::hand_over(&core).await;
     let left = open.load(Ordering::Relaxed);
     core.log.write(
         LogKind::Stop,
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -48,6 +48,13 @@
 const SECTIONS: [&str; 4] = ["limits", "listen", "process", "store"];
 
 impl GatewaySettings {
+    /// Returns a number that mostly differs between the processes of a fleet.
+    pub(crate) fn part(&self) -> u64 {
+        self.id.bytes().fold(0, |sum, byte| {
+            sum.wrapping_mul(31).wrapping_add(byte.into())
+        })
+    }
+
     /// Reads and checks the file at `path`.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -8,12 +8,16 @@
 
 use jujuberoad::fleet::EngineReport;
 use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::Fence;
+use jujuberoad::ids::RouterId;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad::peer::PeerFrame;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::peer::PeerHandler;
 use jujuberoad_node::peer::PeerSocket;
 use jujuberoad_node::runtime;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
 use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
@@ -96,6 +100,17 @@
     }
 }
 
+impl PeerDesk {
+    fn take_over(&self, fence: Fence, from: &RouterId) {
+        if self.core.session.take_over(fence) {
+            self.core.log.write(
+                LogKind::Lease,
+                json!({"fence": fence, "state": "taken over", "from": from}),
+            );
+        }
+    }
+}
+
 impl PeerHandler for PeerDesk {
     fn question(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, _from: SocketAddr) {
         match frame.message {
@@ -126,6 +141,7 @@
                     self.core.queue.wake_all();
                 }
             }
+            PeerMessage::Handover { fence } => self.take_over(fence, &frame.sender),
             PeerMessage::Silent { endpoint, .. } => {
                 let target = self.core.stalls.hurry_probe(&endpoint).or_else(|| {
                     let view = self.core.board.view();
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -47,7 +47,7 @@
             // planner that numbered groups under that fence is kept.
             let is_same = term.as_ref().is_some_and(|(known, _)| *known == fence);
             if !is_same {
-                let planner = ReplicaPlanner::new(fence);
+                let planner = ReplicaPlanner::new(fence, core.settings.part());
                 term = Some((fence, Arc::new(Mutex::new(planner))));
             }
             let Some((fence, planner)) = &term else {
--- a/gateway/src/plain_call.rs
+++ b/gateway/src/plain_call.rs
@@ -129,6 +129,9 @@
             Err(error) => return AttemptEnd::MayHaveRun(error),
         };
         let status = answer.response.status();
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            self.core.note_misdirected(&taken.target);
+        }
         if answer.head.was_not_run {
             let message = format!("status {status}, not run");
             let error = CallError::sent(CallStep::Decode, address, message);
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -14,6 +14,7 @@
 use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::StoreVersion;
+use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::backends::LeaseId;
 use jujuberoad_node::backends::StoreChange;
 use jujuberoad_node::backends::StoreError;
@@ -42,6 +43,8 @@
 /// Pause between two watches of the product's own keys: each router that comes or
 /// goes wakes all others.
 const OWN_PACE: Duration = Duration::from_millis(400);
+/// Times that a right is handed over, as datagrams are lost now and then.
+const HANDOVER_TRIES: u32 = 3;
 /// Time for one call to the store.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 
@@ -78,6 +81,11 @@
         self.lock().right.observe_peer(fence);
     }
 
+    /// Takes over the right of a peer that stops while the store is away.
+    pub(crate) fn take_over(&self, fence: Fence) -> bool {
+        self.lock().right.take_over(fence)
+    }
+
     fn lock(&self) -> MutexGuard<'_, SessionState> {
         self.state.lock().expect("session lock")
     }
@@ -105,7 +113,6 @@
 pub(crate) async fn end(core: &GatewayCore) {
     let lease = {
         let mut state = core.session.lock();
-        state.right.lock_lost();
         state.lease.take()
     };
     let Some(lease) = lease else {
@@ -115,13 +122,44 @@
         .parts
         .store
         .end_lease(lease, Instant::now() + CALL_LIMIT);
-    if let Err(error) = ended.await {
-        let reason = error.to_string();
-        core.log.write(
-            LogKind::Lease,
-            json!({"lease": lease, "state": "not ended", "reason": reason}),
-        );
+    match ended.await {
+        Ok(()) => core.session.lock().right.lock_lost(),
+        // Nobody else can take the lock from a store that is away, so the right is
+        // kept until the process ends.
+        Err(error) => {
+            core.session.lock().right.store_failed();
+            let reason = error.to_string();
+            core.log.write(
+                LogKind::Lease,
+                json!({"lease": lease, "state": "not ended", "reason": reason}),
+            );
+        }
+    }
+}
+
+/// Hands a right that could not be given back to a peer, when the process ends.
+pub(crate) async fn hand_over(core: &GatewayCore) {
+    let Some(fence) = core.session.order_fence() else {
+        return;
+    };
+    core.session.end_term(fence);
+    let heir = {
+        let peers = core.peer_addresses.lock().expect("peer lock");
+        let mut others = peers.iter().filter(|(id, _)| **id != core.settings.id);
+        others.next().map(|(id, address)| (id.clone(), *address))
+    };
+    let Some((heir, address)) = heir else {
+        return;
+    };
+    for _ in 0..HANDOVER_TRIES {
+        core.peers
+            .tell(address, PeerMessage::Handover { fence })
+            .await;
     }
+    core.log.write(
+        LogKind::Lease,
+        json!({"fence": fence, "state": "handed over", "to": heir}),
+    );
 }
 
 async fn keep_once(core: &GatewayCore) -> Result<(), StoreError> {
@@ -220,7 +258,10 @@
             let mut state = core.session.lock();
             // A write whose answer was lost shows here.
             let is_own = text == core.settings.id && state.lease.is_some();
-            if is_own && state.right.fence().is_none() {
+            if !is_own {
+                // Also a right that was handed over ends when the store shows a holder.
+                state.right.lock_lost();
+            } else if state.right.fence().is_none() {
                 state.right.lock_won(item.version);
             }
             state.is_lock_held = true;
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -225,6 +225,9 @@
             Err(error) => return RunEnd::MayHaveRun(error),
         };
         let status = answer.response.status();
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            self.core.note_misdirected(&entry.taken.target);
+        }
         if answer.head.was_not_run {
             let error = CallError::sent(
                 CallStep::Decode,
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -30,9 +30,15 @@
         ("unknown section", format!("{GOOD}[peers]\nx = 1\n")),
         ("unknown key", format!("{GOOD}[limits]\ngrade = 8s\n")),
         ("no unit", format!("{GOOD}[limits]\ngrace = 8\n")),
-        ("negative ratio", format!("{GOOD}[limits]\nretry_ratio = -1\n")),
+        (
+            "negative ratio",
+            format!("{GOOD}[limits]\nretry_ratio = -1\n"),
+        ),
         ("no number", format!("{GOOD}[limits]\nretry_fixed = many\n")),
-        ("flag", GOOD.replace("zone = z1", "zone = z1\nfirst_start = 1")),
+        (
+            "flag",
+            GOOD.replace("zone = z1", "zone = z1\nfirst_start = 1"),
+        ),
         ("address", GOOD.replace("10.0.0.1:80\n", "somewhere\n")),
     ];
     let mut all = String::new();
@@ -63,7 +69,10 @@
     for (section, key) in named {
         // A key that is known is not refused as unknown, whatever its value.
         let problems = told(&format!("{section}\n{key} = x\nno_such_key = 1\n"));
-        assert!(!problems.contains(&format!("{key:?} is not known")), "{section} {key}");
+        assert!(
+            !problems.contains(&format!("{key:?} is not known")),
+            "{section} {key}"
+        );
         assert!(problems.contains(&key), "{section} {key}: {problems}");
     }
 }
@@ -72,8 +81,10 @@
 #[test]
 fn the_template_gives_valid_settings() {
     let template = std::fs::read_to_string("../deploy/gateway.ini").expect("the template");
-    let mut text = template
-        .replace("{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}", "yes");
+    let mut text = template.replace(
+        "{{#bootstrap}}yes{{/bootstrap}}{{^bootstrap}}no{{/bootstrap}}",
+        "yes",
+    );
     for (name, value) in [
         ("nodeName", "edge-1"),
         ("zone", "z1"),
--- a/lib/src/fleet/order_right.rs
+++ b/lib/src/fleet/order_right.rs
@@ -46,6 +46,19 @@
         self.fence = Some(fence);
     }
 
+    /// Takes over the right of a peer that stops while the store is away; tells
+    /// whether it was taken. It ends when the store shows who holds the lock.
+    pub fn take_over(&mut self, fence: Fence) -> bool {
+        let is_ended = self.ended.is_some_and(|ended| ended >= fence);
+        let is_free = self.fence.is_none_or(|own| own < fence);
+        let is_taken = self.failed_calls > 0 && is_free && !is_ended;
+        if is_taken {
+            self.fence = Some(fence);
+            self.valid_until = None;
+        }
+        is_taken
+    }
+
     /// Notes that the lock is free or somebody else's.
     pub fn lock_lost(&mut self) {
         self.fence = None;
--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -38,7 +38,11 @@
 /// Loads may take this many times their nominal time before they count as lost.
 const LOAD_PATIENCE: u64 = 4;
 /// Groups that one fence may number.
-const EPOCHS_PER_FENCE: u64 = 100_000;
+const EPOCHS_PER_FENCE: u64 = EPOCHS_PER_PART * PARTS_PER_FENCE;
+/// Groups that one planner numbers under a fence; a busy day forms some hundred.
+const EPOCHS_PER_PART: u64 = 10_000;
+/// Planners that may hold a fence one after the other.
+const PARTS_PER_FENCE: u64 = 100;
 
 /// What the planner decides from.
 pub struct PlannerInput<'a> {
@@ -91,9 +95,13 @@
 
 impl ReplicaPlanner {
     /// Starts a term with `fence`.
-    pub fn new(fence: Fence) -> Self {
+    ///
+    /// Groups are numbered from a part of the fence's numbers that `part` picks, so
+    /// that those of a planner which handed the fence over are not used again.
+    pub fn new(fence: Fence, part: u64) -> Self {
+        let first = fence * EPOCHS_PER_FENCE + (part % PARTS_PER_FENCE) * EPOCHS_PER_PART;
         Self {
-            next_epoch: fence * EPOCHS_PER_FENCE + 1,
+            next_epoch: first + 1,
             formations: BTreeMap::new(),
             retry_at: BTreeMap::new(),
             loading: BTreeMap::new(),
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -87,6 +87,12 @@
         /// The engines and their reports.
         reports: Vec<(EndpointId, EngineReport)>,
     },
+    /// Hands the right to form groups to the receiver while the store is away; the
+    /// sender gives no order after it.
+    Handover {
+        /// Fence under which the receiver goes on.
+        fence: Fence,
+    },
     /// Tells that a head has fallen silent and does not answer a probe.
     Silent {
         /// The head.
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -321,3 +321,25 @@
     note("lapsed by the store's word", &away, 9_000);
     assert_snapshot!(lines.join("\n"));
 }
+
+#[test]
+fn a_right_is_handed_over_only_while_the_store_is_away() {
+    let at = Duration::from_millis;
+    let mut heir = OrderRight::default();
+    heir.lease_renewed(at(2_000));
+    assert!(!heir.take_over(7));
+    heir.store_failed();
+    assert!(heir.take_over(7));
+    assert_eq!(heir.current(at(9_000)), Some(7));
+    // The same message once more, or an older one, changes nothing.
+    assert!(!heir.take_over(7) && !heir.take_over(6));
+    // The store is back: the lease alone gives no right, whoever holds the lock.
+    let mut returned = heir.clone();
+    returned.lock_lost();
+    returned.lease_renewed(at(12_000));
+    assert_eq!(returned.current(at(10_000)), None);
+    // An engine knows a higher fence.
+    heir.end(7);
+    assert_eq!(heir.current(at(9_000)), None);
+    assert!(!heir.take_over(7));
+}
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -167,7 +167,7 @@
             faults: Vec::new(),
             orders_given: 0,
             start: Instant::now(),
-            planner: ReplicaPlanner::new(1),
+            planner: ReplicaPlanner::new(1, 0),
             next_vm: 0,
             snapshots: VecDeque::new(),
             late_orders: Vec::new(),
@@ -254,7 +254,7 @@
     /// Another process takes over, with nothing but the registry.
     pub fn take_over(&mut self) {
         self.fence += 1;
-        self.planner = ReplicaPlanner::new(self.fence);
+        self.planner = ReplicaPlanner::new(self.fence, self.rng.u64(..));
     }
 
     /// Runs for `span_ms`.
