watches: fewer calls to the store and fewer probes

Each router watched the registry more often than its freshness asks for, the placer also when nothing was being formed; with one stream a head per router, each first event of a wide model (300 ms) was taken for missing after 220 ms and its 8 members probed. Ruled out: sharing the events of streams between routers (their messages are 200 ms old at 30 routers). Change: a router watches at 0.45 of the time in which leaving endpoints must be known (a setting); the placer every 60 ms while it forms groups and every 250 ms otherwise; a first event is missing after twice the usual time of its pool.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -65,6 +65,8 @@
     pub(crate) is_stopping: AtomicBool,
     /// Whether this router gives orders at the moment.
     pub(crate) is_placer: AtomicBool,
+    /// Whether groups are being formed by this router.
+    pub(crate) is_mending: AtomicBool,
     /// Whether the registry cannot be read at the moment.
     pub(crate) is_registry_lost: AtomicBool,
     /// Whether any request has come since the start.
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -173,6 +173,7 @@
         metrics: MetricPage::default(),
         is_stopping: false.into(),
         is_placer: false.into(),
+        is_mending: false.into(),
         is_registry_lost: false.into(),
         has_traffic: false.into(),
     })
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -37,6 +37,8 @@
     pub shortest_lease_ms: Milliseconds,
     /// Time for an orderly stop.
     pub grace_ms: Milliseconds,
+    /// Time after which an endpoint that leaves must get nothing more.
+    pub leaving_ms: Milliseconds,
     /// Window in which retries are counted.
     pub retry_window_ms: Milliseconds,
     /// Retries that are allowed for each request of a window.
@@ -98,6 +100,7 @@
         let limits = section("limits");
         let mut reader = SectionReader::new(&limits, &mut problems);
         let grace_ms = reader.span("grace", 8_000);
+        let leaving_ms = reader.span("leaving", 2_000);
         let retry_window_ms = reader.span("retry_window", 10_000);
         let retry_ratio = fraction(&mut reader, "retry_ratio", 0.1);
         let retry_fixed = fraction(&mut reader, "retry_fixed", 20.0);
@@ -118,6 +121,7 @@
             store,
             shortest_lease_ms,
             grace_ms,
+            leaving_ms,
             retry_window_ms,
             retry_ratio,
             retry_fixed,
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -38,6 +38,7 @@
             let current = core.session.order_fence();
             let was_active = core.is_placer.swap(current.is_some(), Ordering::Relaxed);
             let Some(fence) = current else {
+                core.is_mending.store(false, Ordering::Relaxed);
                 if was_active {
                     core.log.write(LogKind::Lease, json!({"placer": false}));
                 }
@@ -77,7 +78,13 @@
         has_traffic,
         now: Instant::now(),
     };
-    let orders = planner.lock().expect("planner lock").plan(&input);
+    let orders = {
+        let mut planner = planner.lock().expect("planner lock");
+        let orders = planner.plan(&input);
+        core.is_mending
+            .store(planner.is_mending(), Ordering::Relaxed);
+        orders
+    };
     for order in orders {
         let core = Arc::clone(core);
         let planner = Arc::clone(planner);
--- a/gateway/src/stall_board.rs
+++ b/gateway/src/stall_board.rs
@@ -12,9 +12,8 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
-/// Wait for a first event after which a head is probed; below the shortest
-/// objective of 300 ms, above the usual wait of 100 ms.
-const FIRST_EVENT_SILENCE: Duration = Duration::from_millis(220);
+/// Time within which events of other streams show that a group works.
+const PROGRESS_SPAN: Duration = Duration::from_millis(220);
 /// Pause between two probes of the same head.
 const PROBE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -42,14 +41,19 @@
 }
 
 struct StreamState {
-    sent_at: Instant,
+    /// Moment at which its first event is missing.
+    missing_at: Instant,
     has_started: bool,
     sender: Sender<()>,
 }
 
 impl StallBoard {
     /// Notes a stream that is sent to `target`; the receiver tells when it is lost.
-    pub(crate) fn enter(&self, target: &ServingTarget) -> (StreamNumber, Receiver<()>) {
+    pub(crate) fn enter(
+        &self,
+        target: &ServingTarget,
+        missing_after: Duration,
+    ) -> (StreamNumber, Receiver<()>) {
         let now = Instant::now();
         let (sender, receiver) = channel::bounded(1);
         let mut state = self.state.lock().expect("stall lock");
@@ -67,7 +71,7 @@
             });
         head.target = target.clone();
         let stream = StreamState {
-            sent_at: now,
+            missing_at: now + missing_after,
             has_started: false,
             sender,
         };
@@ -118,13 +122,11 @@
                 continue;
             }
             let waiting = head.streams.values().filter(|stream| !stream.has_started);
-            let first_due = waiting
-                .map(|stream| stream.sent_at + FIRST_EVENT_SILENCE)
-                .min();
+            let first_due = waiting.map(|stream| stream.missing_at).min();
             let is_silent = head.watch.silent_at().is_some_and(|at| now >= at);
             // A first event may be late because of a long queue; events of other
             // streams show that the group works.
-            let has_progress = now < head.watch.last_event() + FIRST_EVENT_SILENCE;
+            let has_progress = now < head.watch.last_event() + PROGRESS_SPAN;
             let is_late = first_due.is_some_and(|at| now >= at) && !has_progress;
             if !is_silent && !is_late {
                 continue;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -30,14 +30,16 @@
 const WATCH_MS: Milliseconds = 10_000;
 /// Time for a full read; a slow store answers within some hundred milliseconds.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
-/// Pause between two watches of the registry, which changes dozens of times a
-/// second; endpoints that leave must be known within 2 s, and news of groups come
-/// from the router that forms them.
-const REGISTRY_PACE: Duration = Duration::from_millis(900);
+/// Pause between two watches of the registry, as part of the time after which an
+/// endpoint that leaves must get nothing more. The registry changes dozens of times
+/// a second; news of groups come from the router that forms them.
+const REGISTRY_PACE_SHARE: f64 = 0.45;
 /// The same until callers come, when endpoints register one after the other.
 const START_PACE: Duration = Duration::from_millis(300);
-/// The same while this router forms groups, where each wait delays a repair.
-const PLACER_PACE: Duration = Duration::from_millis(80);
+/// The same at the router that forms groups, which streams tell of most losses.
+const PLACER_PACE: Duration = Duration::from_millis(250);
+/// The same while groups are being formed, where each wait delays a repair.
+const MENDING_PACE: Duration = Duration::from_millis(60);
 /// Pause after a failed call.
 const RETRY_PACE: (u64, u64) = (100, 300);
 /// Failures in a row after which the store counts as lost.
@@ -327,15 +329,17 @@
     }
 
     fn pace(&self, core: &GatewayCore) -> Duration {
-        if core.is_placer.load(Ordering::Relaxed) {
+        if core.is_mending.load(Ordering::Relaxed) {
+            MENDING_PACE
+        } else if core.is_placer.load(Ordering::Relaxed) {
             PLACER_PACE
         } else {
             let has_traffic = core.has_traffic.load(Ordering::Relaxed);
-            if has_traffic {
-                REGISTRY_PACE
-            } else {
-                START_PACE
+            if !has_traffic {
+                return START_PACE;
             }
+            let leaving = Duration::from_millis(core.settings.leaving_ms);
+            leaving.mul_f64(REGISTRY_PACE_SHARE)
         }
     }
 }
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
+use jujuberoad::fleet::PoolKey;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::routing::WholeEvent;
 use jujuberoad_node::backends::CallError;
@@ -74,8 +75,12 @@
 }
 
 impl StreamEntry {
-    fn new(core: &Arc<GatewayCore>, taken: TakenTarget) -> Self {
-        let (number, lost) = core.stalls.enter(&taken.target);
+    fn new(core: &Arc<GatewayCore>, taken: TakenTarget, pool: &PoolKey) -> Self {
+        let missing_after = {
+            let clock = core.first_events.lock().expect("first event lock");
+            clock.missing_after(pool)
+        };
+        let (number, lost) = core.stalls.enter(&taken.target, missing_after);
         Self {
             core: Arc::clone(core),
             taken,
@@ -203,7 +208,7 @@
     async fn attempt(&self, taken: TakenTarget, after: Option<u64>) -> RunEnd {
         let address = taken.target.address;
         let sent_at = Instant::now();
-        let mut entry = StreamEntry::new(&self.core, taken);
+        let mut entry = StreamEntry::new(&self.core, taken, &self.request.pool);
         let lost_signal = entry.lost.clone();
         let lost = async {
             if lost_signal.recv().await.is_err() {
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -65,7 +65,7 @@
             named.push((section.clone(), key.to_owned()));
         }
     }
-    assert_eq!(named.len(), 13);
+    assert_eq!(named.len(), 14);
     for (section, key) in named {
         // A key that is known is not refused as unknown, whatever its value.
         let problems = told(&format!("{section}\n{key} = x\nno_such_key = 1\n"));
@@ -95,6 +95,7 @@
         ("platform.address", "10.200.1.7:8223"),
         ("platform.ttlMinMs", "1000"),
         ("contractParams.graceS", "8"),
+        ("contractParams.drainMs", "2000"),
         ("contractParams.budgetWindowS", "10"),
         ("contractParams.budgetRatio", "0.2"),
         ("contractParams.budgetSlack", "105"),
--- a/lib/src/admission/first_event_clock.rs
+++ b/lib/src/admission/first_event_clock.rs
@@ -12,6 +12,11 @@
 const FIRST_SHARE: f64 = 0.5;
 /// Time kept back for the way to the caller and the spread of the mean.
 const MARGIN: Duration = Duration::from_millis(0);
+/// A first event is missing after this many usual times; a prompt of four times the
+/// mean length takes about twice as long.
+const MISSING_FACTOR: f64 = 2.0;
+/// Least time after which it is; below the shortest objective of 300 ms.
+const LEAST_MISSING: Duration = Duration::from_millis(220);
 /// Part of the objective that may be spent on waiting at most.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
@@ -29,6 +34,13 @@
         *mean += TIME_WEIGHT * (taken_ms - *mean);
     }
 
+    /// Returns how long after sending a first event counts as missing.
+    pub fn missing_after(&self, pool: &PoolKey) -> Duration {
+        let usual = self.mean_ms.get(pool).copied().unwrap_or(0.0);
+        let missing = Duration::from_secs_f64(usual * MISSING_FACTOR / 1_000.0);
+        missing.max(LEAST_MISSING)
+    }
+
     /// Returns how long a request may wait for a slot and still be on time.
     pub fn longest_wait(&self, pool: &PoolKey, objective_ms: Milliseconds) -> Duration {
         let objective = Duration::from_millis(objective_ms.max(1));
--- a/lib/src/fleet/replica_planner.rs
+++ b/lib/src/fleet/replica_planner.rs
@@ -156,9 +156,9 @@
         self.retry_at.insert(key, now + pause);
     }
 
-    /// Returns the number of loads under way.
-    pub fn loading_count(&self) -> usize {
-        self.loading.len()
+    /// Tells whether changes of engines are awaited.
+    pub fn is_mending(&self) -> bool {
+        !(self.formations.is_empty() && self.left.is_empty() && self.warming.is_empty())
     }
 
     fn forget(&mut self, input: &PlannerInput<'_>) {
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -164,6 +164,8 @@
     };
     let mut clock = FirstEventClock::default();
     assert_eq!(clock.longest_wait(&pool, 300), Duration::from_millis(150));
+    // A first event is not missed before the shortest objective is near.
+    assert_eq!(clock.missing_after(&pool), Duration::from_millis(220));
     for _ in 0..200 {
         clock.observe(&pool, Duration::from_millis(180));
     }
@@ -173,6 +175,8 @@
         clock.observe(&pool, Duration::from_millis(400));
     }
     assert_eq!(clock.longest_wait(&pool, 300), Duration::ZERO);
+    let missing = clock.missing_after(&pool).as_millis();
+    assert!((790..=810).contains(&missing), "{missing}");
 
     let mut watch = ReturnWatch::default();
     let route = "r".into();
