watches: calls to a store that is away are spaced out; a peer's word is enough

Cause: in an outage each router asked three times each 100 to 300 ms, and calls that are turned away are billed; a peer's word of a silent group made all routers probe its members. Ruled out: one watch for all prefixes (the store has none).

--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -35,6 +35,8 @@
 use crate::plain_call::PlainCall;
 use crate::stream_call::StreamCall;
 
+/// Bytes of a header line beside name and value: colon, space and line end.
+const HEADER_EXTRA_BYTES: usize = 4;
 /// Wait that is assumed for callers that do not say how long they wait.
 const USUAL_PATIENCE_MS: u64 = 30_000;
 
@@ -63,6 +65,7 @@
             let patience = Duration::from_millis(patience_ms);
             return Err(answer.with_retry_at(caller_request::return_after_start(patience)));
         };
+        refuse_long_head(&request, &config)?;
         let path = request.uri().path().to_owned();
         let host = host_of(&request);
         let (route, team, priority) = caller_request::admit(&config, &head, &host, &path)
@@ -157,6 +160,21 @@
     }
 }
 
+/// Refuses a head that is longer than the operator allows.
+fn refuse_long_head(request: &Request<Incoming>, config: &ServingConfig) -> Result<(), OwnAnswer> {
+    let limit = config.limits.head_bytes;
+    let headers = request.headers().iter();
+    let bytes: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA_BYTES)
+        .sum();
+    if bytes <= limit {
+        return Ok(());
+    }
+    let reason = format!("the head is longer than {limit} bytes");
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    Err(OwnAnswer::not_run(status, reason))
+}
+
 fn host_of(request: &Request<Incoming>) -> String {
     if let Some(host) = request.uri().host() {
         return host.to_owned();
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -75,7 +75,6 @@
 ) -> Result<(), Report<GatewayError>> {
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
-    let metrics = listen(settings.metrics, "metrics").await?;
     let peers = PeerSocket::bind(settings.id.clone(), settings.peers)
         .await
         .change_context(GatewayError::Listen {
@@ -105,8 +104,7 @@
     runtime::spawn(server.run(stop_callers));
     let api: Arc<dyn HttpHandler> = ReadinessApi::new(Arc::clone(&core));
     runtime::spawn(HttpServer::new(readiness, api).run(stop_all.clone()));
-    let api: Arc<dyn HttpHandler> = MetricsApi::new(Arc::clone(&core));
-    runtime::spawn(HttpServer::new(metrics, api).run(stop_all));
+    serve_metrics(&core, stop_all).await;
     start_parts(&core);
 
     wait_for_stop(&core, signals).await;
@@ -133,6 +131,23 @@
     Ok(())
 }
 
+/// Serves metrics; callers are served also where that address is taken.
+async fn serve_metrics(core: &Arc<GatewayCore>, stop: StopSignal) {
+    match listen(core.settings.metrics, "metrics").await {
+        Ok(listener) => {
+            let api: Arc<dyn HttpHandler> = MetricsApi::new(Arc::clone(core));
+            runtime::spawn(HttpServer::new(listener, api).run(stop));
+        }
+        Err(report) => {
+            let reason = format!("{report:?}");
+            core.log.write(
+                LogKind::Dependency,
+                json!({"on": "metrics address", "reason": reason}),
+            );
+        }
+    }
+}
+
 async fn listen(
     address: SocketAddr,
     purpose: &'static str,
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -32,6 +32,9 @@
 /// Digests that may be lost before a peer's work is no longer counted.
 const DIGEST_VALID: Duration = Duration::from_millis(600);
 
+/// Time for which a group is avoided on a peer's word; by then the registry or the
+/// router that forms groups has said more.
+const PEER_WORD_VALID: Duration = Duration::from_millis(2_000);
 /// Reports in one message, so that it fits in a datagram.
 const REPORTS_PER_MESSAGE: usize = 20;
 
@@ -111,6 +114,31 @@
     }
 }
 
+impl PeerDesk {
+    /// Looks for itself where it has streams or forms groups; else a peer's word is
+    /// enough to send nothing there for a while.
+    fn take_silence(&self, endpoint: &EndpointId, lost: &EndpointId) {
+        let core = &self.core;
+        let target = if core.stalls.has_streams(endpoint) {
+            core.stalls.hurry_probe(endpoint)
+        } else if core.is_placer.load(Ordering::Relaxed) {
+            let view = core.board.view();
+            let mut targets = view.targets.iter();
+            targets.find(|target| target.endpoint == *endpoint).cloned()
+        } else {
+            core.mark_lost_for(lost, PEER_WORD_VALID);
+            None
+        };
+        let Some(target) = target else {
+            return;
+        };
+        let core = Arc::clone(core);
+        runtime::spawn(async move {
+            silence_loop::examine(&core, target, ProbeCause::Peer).await;
+        });
+    }
+}
+
 impl PeerHandler for PeerDesk {
     fn question(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, _from: SocketAddr) {
         match frame.message {
@@ -142,21 +170,7 @@
                 }
             }
             PeerMessage::Handover { fence } => self.take_over(fence, &frame.sender),
-            PeerMessage::Silent { endpoint, .. } => {
-                let target = self.core.stalls.hurry_probe(&endpoint).or_else(|| {
-                    let view = self.core.board.view();
-                    let mut targets = view.targets.iter();
-                    let is_known = targets.find(|target| target.endpoint == endpoint).cloned();
-                    is_known.filter(|_| !self.core.stalls.has_streams(&endpoint))
-                });
-                let Some(target) = target else {
-                    return;
-                };
-                let core = Arc::clone(&self.core);
-                runtime::spawn(async move {
-                    silence_loop::examine(&core, target, ProbeCause::Peer).await;
-                });
-            }
+            PeerMessage::Silent { endpoint, lost, .. } => self.take_silence(&endpoint, &lost),
             _ => {}
         }
     }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -40,8 +40,9 @@
 const PLACER_PACE: Duration = Duration::from_millis(250);
 /// The same while groups are being formed, where each wait delays a repair.
 const MENDING_PACE: Duration = Duration::from_millis(60);
-/// Pause after a failed call.
-const RETRY_PACE: (u64, u64) = (100, 300);
+/// First and longest pause after a failed call: calls that the store turns away are
+/// billed too, and configurations are to be in force two seconds after it is back.
+const RETRY_PACE: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(800));
 /// Failures in a row after which the store counts as lost.
 const LOST_AFTER: u32 = 2;
 /// Time after an outage for which entries that a full read lacks are kept:
@@ -96,12 +97,19 @@
                     }),
                 );
             }
-            let pause = fastrand::u64(RETRY_PACE.0..RETRY_PACE.1);
-            Timer::after(Duration::from_millis(pause)).await;
+            Timer::after(retry_pause(failures)).await;
         }
     });
 }
 
+/// Returns a pause that doubles with each failure, spread over the routers.
+fn retry_pause(failures: u32) -> Duration {
+    let doubled = RETRY_PACE.0 * 2_u32.pow(failures.clamp(1, 8) - 1);
+    doubled
+        .min(RETRY_PACE.1)
+        .mul_f64(0.75 + 0.5 * fastrand::f64())
+}
+
 enum Never {}
 
 async fn follow_once(
