gateway: planner and watches split by what they decide; a lost load is ordered again

Reading them showed that a VM whose order to load was not answered was left alone for four times the load. Ruled out: late orders alone (the test gives them only after the fleet is up). Change: one module a step of the planner, one sink a prefix; a load counts as under way only when its order was sent, and is wished for again when nothing is known of it.

--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -14,6 +14,7 @@
 use jujuberoad::ids::TeamId;
 use jujuberoad::serving::RouteSpec;
 use jujuberoad::serving::ServingConfig;
+use jujuberoad_node::backends::CallError;
 use jujuberoad_node::backends::CallerHead;
 use smol_str::SmolStr;
 
@@ -88,6 +89,16 @@
         now + shortest + (longest - shortest).mul_f64(fastrand::f64())
     }
 
+    /// Returns the answer to a request whose last send did not run, after `runs`
+    /// sends that may have.
+    pub(crate) fn unrun_answer(&self, runs: u32, error: &CallError) -> OwnAnswer {
+        if runs > 0 {
+            return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, error.to_string());
+        }
+        OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
+            .with_retry_at(self.return_at())
+    }
+
     /// Returns the answer to a request for which no target could be taken.
     pub(crate) fn refusal(&self, reason: NoTarget) -> OwnAnswer {
         let pool = &self.pool;
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -35,9 +35,11 @@
 use crate::gateway_settings::GatewaySettings;
 use crate::metric_page::MetricPage;
 use crate::metric_page::MetricsApi;
+use crate::operator_sink::OperatorSink;
 use crate::peer_exchange;
 use crate::placer_loop;
 use crate::readiness_api::ReadinessApi;
+use crate::registry_sink::RegistrySink;
 use crate::report_poll;
 use crate::session_keeper;
 use crate::session_keeper::OwnSink;
@@ -47,8 +49,6 @@
 use crate::stall_board::StallBoard;
 use crate::state_log;
 use crate::store_watch;
-use crate::store_watch::OperatorSink;
-use crate::store_watch::RegistrySink;
 
 /// Time within which a connection to an endpoint must be open; one round trip is
 /// at most some milliseconds, and the shortest objective 120 ms.
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -6,7 +6,6 @@
 
 use jujuberoad::config::ConfigProblem;
 use jujuberoad::config::IniDocument;
-use jujuberoad::config::IniSection;
 use jujuberoad::config::SectionReader;
 use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::RouterId;
@@ -74,7 +73,7 @@
         let document = IniDocument::merge(&files)?;
         let mut problems = Vec::new();
         refuse_unknown(&document, &mut problems);
-        let section = |kind: &str| section_of(&document, &file, kind);
+        let section = |kind: &str| document.single(kind, &file);
 
         let process = section("process");
         let mut reader = SectionReader::new(&process, &mut problems);
@@ -129,17 +128,6 @@
     }
 }
 
-fn section_of(document: &IniDocument, file: &SmolStr, kind: &str) -> IniSection {
-    let found = document.of_kind(kind).next().cloned();
-    found.unwrap_or_else(|| IniSection {
-        kind: kind.into(),
-        name: SmolStr::default(),
-        file: file.clone(),
-        line: 0,
-        entries: BTreeMap::new(),
-    })
-}
-
 fn fraction(reader: &mut SectionReader<'_>, key: &'static str, default: f64) -> f64 {
     let text = reader.text_or(key, "");
     if text.is_empty() {
--- /dev/null
+++ b/gateway/src/operator_sink.rs
@@ -0,0 +1,107 @@
+//! Follows the configuration and the zones out of service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujuberoad::ids::StoreVersion;
+use jujuberoad::ids::ZoneId;
+use jujuberoad_node::backends::StoreEvent;
+use jujuberoad_node::backends::StoredItem;
+use jujuberoad_node::backends::StoredRange;
+use jujuberoad_node::runtime::LogKind;
+use serde_json::json;
+
+use crate::gateway_core::GatewayCore;
+use crate::store_watch::PrefixSink;
+
+/// Follows what the operator writes.
+pub(crate) struct OperatorSink {
+    pub(crate) prefix: String,
+}
+
+impl OperatorSink {
+    fn take(&self, core: &GatewayCore, item: StoredItem) {
+        let dialect = &core.parts.dialect;
+        if let Some(zone) = dialect.evacuated_zone(&item.key) {
+            if core.board.evacuate(zone.clone(), item.version) {
+                core.log.write(
+                    LogKind::Evacuation,
+                    json!({"zone": zone, "state": "out", "version": item.version}),
+                );
+            }
+            return;
+        }
+        if !dialect.is_config_key(&item.key) {
+            return;
+        }
+        match dialect.decode_config(&item.value) {
+            Ok(config) => {
+                let (version, routes) = (config.version, config.route_count());
+                let is_new = core.board.take_config(config, item.version);
+                if is_new {
+                    core.log.write(
+                        LogKind::Config,
+                        json!({"config": version, "version": item.version, "routes": routes}),
+                    );
+                }
+                core.queue.wake_all();
+            }
+            Err(error) => core.log.write(
+                LogKind::Damaged,
+                json!({"what": error.what, "reason": error.message, "kept": "the last one"}),
+            ),
+        }
+    }
+}
+
+impl PrefixSink for OperatorSink {
+    fn prefix(&self) -> String {
+        self.prefix.clone()
+    }
+
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
+        let dialect = &core.parts.dialect;
+        let out: Vec<_> = range
+            .items
+            .iter()
+            .filter_map(|item| dialect.evacuated_zone(&item.key))
+            .collect();
+        for zone in core.board.evacuated() {
+            if !out.contains(&zone) {
+                take_back(core, &zone, range.as_of);
+            }
+        }
+        for item in range.items {
+            self.take(core, item);
+        }
+    }
+
+    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, _as_of: StoreVersion) {
+        for event in events {
+            match event {
+                StoreEvent::Written(item) => self.take(core, item),
+                StoreEvent::Deleted { key, version } => {
+                    if let Some(zone) = core.parts.dialect.evacuated_zone(&key) {
+                        take_back(core, &zone, version);
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_contact(&self, _core: &GatewayCore, _is_lost: bool) {}
+
+    fn pace(&self, _core: &GatewayCore) -> Duration {
+        Duration::ZERO
+    }
+}
+
+fn take_back(core: &GatewayCore, zone: &ZoneId, version: StoreVersion) {
+    if core.board.take_back(zone) {
+        core.log.write(
+            LogKind::Evacuation,
+            json!({"zone": zone, "state": "back", "version": version}),
+        );
+        core.queue.wake_all();
+    }
+}
--- a/gateway/src/plain_call.rs
+++ b/gateway/src/plain_call.rs
@@ -93,7 +93,7 @@
                     self.unrun_sends += 1;
                     let is_allowed = !error.was_sent || self.core.try_retry();
                     if self.unrun_sends >= MAX_UNRUN_SENDS || !is_allowed {
-                        let answer = self.not_run_answer(&error);
+                        let answer = self.request.unrun_answer(self.runs, &error);
                         return self.end_own(answer);
                     }
                     self.note_retry("not run", &endpoint, &error.to_string());
@@ -180,14 +180,6 @@
         );
     }
 
-    fn not_run_answer(&self, error: &CallError) -> OwnAnswer {
-        if self.runs > 0 {
-            return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, error.to_string());
-        }
-        OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
-            .with_retry_at(self.request.return_at())
-    }
-
     fn end_answered(&self, response: Response<ReplyBody>, endpoint: &str) -> Response<ReplyBody> {
         let request = &self.request;
         self.core
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -1,10 +1,12 @@
 //! Opens a stream at an endpoint, and opens it again elsewhere when it is lost.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use futures_lite::FutureExt;
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
@@ -14,7 +16,9 @@
 use jujuberoad::routing::WholeEvent;
 use jujuberoad_node::backends::CallError;
 use jujuberoad_node::backends::CallStep;
+use jujuberoad_node::http::PooledBody;
 use jujuberoad_node::http::ReplyBody;
+use jujuberoad_node::http::full_body;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 use smol::channel::Receiver;
@@ -170,7 +174,7 @@
                     self.unrun_sends += 1;
                     let is_allowed = !error.was_sent || self.core.try_retry();
                     if self.unrun_sends >= MAX_UNRUN_SENDS || !is_allowed {
-                        return Err(self.not_run_answer(&error));
+                        return Err(self.request.unrun_answer(self.runs, &error));
                     }
                     self.note_retry(&endpoint, &error);
                 }
@@ -242,7 +246,7 @@
             return RunEnd::NotRun(error);
         }
         if !status.is_success() {
-            return self.read_failure(answer.response).await;
+            return self.read_failure(address, answer.response).await;
         }
         let (mut parts, body) = answer.response.into_parts();
         // A resumed stream has another length than its first run said.
@@ -284,31 +288,19 @@
         }))
     }
 
-    async fn read_failure(&self, response: Response<jujuberoad_node::http::PooledBody>) -> RunEnd {
-        use http_body_util::BodyExt;
+    /// Reads a failure of the endpoint, which is passed on as it is.
+    async fn read_failure(&self, address: SocketAddr, response: Response<PooledBody>) -> RunEnd {
         let (parts, body) = response.into_parts();
+        let lost =
+            |reason: String| RunEnd::MayHaveRun(CallError::sent(CallStep::Read, address, reason));
         match by_deadline(self.request.deadline, body.collect()).await {
             Some(Ok(body)) => {
-                let body = jujuberoad_node::http::full_body(body.to_bytes());
+                let body = full_body(body.to_bytes());
                 RunEnd::Failure(Box::new(Response::from_parts(parts, body)))
             }
-            Some(Err(error)) => {
-                let address = std::net::SocketAddr::from(([0, 0, 0, 0], 0));
-                RunEnd::MayHaveRun(CallError::sent(CallStep::Read, address, error))
-            }
-            None => {
-                let address = std::net::SocketAddr::from(([0, 0, 0, 0], 0));
-                RunEnd::MayHaveRun(CallError::sent(CallStep::Read, address, "deadline passed"))
-            }
-        }
-    }
-
-    fn not_run_answer(&self, error: &CallError) -> OwnAnswer {
-        if self.runs > 0 {
-            return OwnAnswer::unknown(StatusCode::BAD_GATEWAY, error.to_string());
+            Some(Err(error)) => lost(error.to_string()),
+            None => lost("deadline passed".to_owned()),
         }
-        OwnAnswer::not_run(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
-            .with_retry_at(self.request.return_at())
     }
 
     fn note_retry(&self, endpoint: &EndpointId, error: &CallError) {
--- a/lib/src/config/ini_document.rs
+++ b/lib/src/config/ini_document.rs
@@ -43,6 +43,18 @@
             .filter(move |section| section.kind == kind)
     }
 
+    /// Returns the only section of `kind`, or an empty one of `file`.
+    pub fn single(&self, kind: &str, file: &SmolStr) -> IniSection {
+        let found = self.of_kind(kind).next().cloned();
+        found.unwrap_or_else(|| IniSection {
+            kind: kind.into(),
+            name: SmolStr::default(),
+            file: file.clone(),
+            line: 0,
+            entries: BTreeMap::new(),
+        })
+    }
+
     fn merge_file(&mut self, file: &SmolStr, text: &str, problems: &mut Vec<ConfigProblem>) {
         let options = ParseOption {
             enabled_escape: false,
--- /dev/null
+++ b/lib/src/fleet/replica_planner/form_groups.rs
@@ -0,0 +1,71 @@
+//! New groups from free VMs of one fabric domain.
+
+use std::collections::BTreeSet;
+
+use super::super::EndpointRecord;
+use super::super::PlannedOrder;
+use super::super::PlannerInput;
+use super::Formation;
+use super::ReplicaPlanner;
+use super::Sorting;
+use super::by_domain;
+use crate::ids::EndpointId;
+use crate::serving::ModelProfile;
+
+impl ReplicaPlanner {
+    /// Forms groups from free VMs that hold the same model in one domain.
+    pub(super) fn form_groups(
+        &mut self,
+        sorting: &mut Sorting<'_>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let mut taken: BTreeSet<EndpointId> = BTreeSet::new();
+        for (_, records) in by_domain(&sorting.free) {
+            for profile in &sorting.engine.models {
+                let mut usable: Vec<&EndpointRecord> = records
+                    .iter()
+                    .copied()
+                    .filter(|record| !taken.contains(&record.id))
+                    .filter(|record| self.holds(record, &profile.model, input))
+                    .collect();
+                // Those whose last group held the model join fastest.
+                usable.sort_by_key(|record| record.model.as_ref() != Some(&profile.model));
+                for members in usable.chunks_exact(profile.size.max(1)) {
+                    taken.extend(members.iter().map(|record| record.id.clone()));
+                    self.begin_formation(profile, members, input, orders);
+                }
+            }
+        }
+        sorting.free.retain(|record| !taken.contains(&record.id));
+    }
+
+    /// Tells whether a VM may join a group of `model` without a counted load.
+    fn holds(&self, record: &EndpointRecord, model: &str, input: &PlannerInput<'_>) -> bool {
+        if record.has_staged(model) {
+            return true;
+        }
+        let is_loading = self.loading.get(&record.id);
+        !input.has_traffic && is_loading.is_some_and(|loading| loading.model == model)
+    }
+
+    fn begin_formation(
+        &mut self,
+        profile: &ModelProfile,
+        members: &[&EndpointRecord],
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let key = self.next_key('g');
+        let formation = Formation {
+            model: profile.model.clone(),
+            members: members.iter().map(|record| record.id.clone()).collect(),
+        };
+        for id in &formation.members {
+            self.retry_at.remove(&(id.clone(), "join"));
+            let order = formation.join(&key);
+            self.push(id, order, "enough free VMs in the domain", input, orders);
+        }
+        self.formations.insert(key, formation);
+    }
+}
--- /dev/null
+++ b/lib/src/fleet/replica_planner/mod.rs
@@ -0,0 +1,235 @@
+//! Forms groups, opens them, and forms them anew when members are lost.
+//!
+//! The planner holds no truth of its own: what it knows of groups comes from the
+//! registry, and a new holder of the lease takes over what it finds there. What it
+//! remembers are orders under way, so that none is sent twice in a row.
+
+mod form_groups;
+mod stage_weights;
+mod tend_groups;
+mod warm_spares;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::EndpointRecord;
+use super::EndpointState;
+use super::GroupKey;
+use super::OrderAnswer;
+use super::PlannedOrder;
+use super::PlannerInput;
+use super::ReplicaOrder;
+use crate::ids::DomainId;
+use crate::ids::EndpointId;
+use crate::ids::Epoch;
+use crate::ids::Fence;
+use crate::ids::Incarnation;
+use crate::ids::ModelId;
+use crate::serving::EngineProfile;
+
+/// Time after which an order whose effect does not show is sent again: a write
+/// of the registry, a watch and a planning round fit in it.
+const ORDER_RETRY: Duration = Duration::from_millis(700);
+/// Time after which an order that does not fit yet, or was not answered, is sent
+/// again; a full write and watch of the registry take about as long.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+/// Groups that one fence may number.
+const EPOCHS_PER_FENCE: u64 = EPOCHS_PER_PART * PARTS_PER_FENCE;
+/// Groups that one planner numbers under a fence; a busy day forms some hundred.
+const EPOCHS_PER_PART: u64 = 10_000;
+/// Planners that may hold a fence one after the other.
+const PARTS_PER_FENCE: u64 = 100;
+
+/// Decides which orders engines get.
+#[derive(Clone, Debug)]
+pub struct ReplicaPlanner {
+    next_epoch: Epoch,
+    formations: BTreeMap<GroupKey, Formation>,
+    retry_at: BTreeMap<(EndpointId, &'static str), Instant>,
+    loading: BTreeMap<EndpointId, Loading>,
+    /// Spares that hold their model alone for a moment, so that they join fast later.
+    warming: BTreeMap<EndpointId, GroupKey>,
+    /// Spares that have done so, with the start at which they did.
+    warmed: BTreeMap<EndpointId, (Incarnation, ModelId)>,
+    /// Members that have left a group which the registry still shows them in.
+    left: BTreeMap<EndpointId, GroupKey>,
+}
+
+#[derive(Clone, Debug)]
+struct Formation {
+    model: ModelId,
+    members: Vec<EndpointId>,
+}
+
+#[derive(Clone, Debug)]
+struct Loading {
+    model: ModelId,
+    give_up_at: Instant,
+}
+
+/// The VMs of one service by what can be done with them.
+struct Sorting<'a> {
+    engine: &'a EngineProfile,
+    free: Vec<&'a EndpointRecord>,
+}
+
+impl ReplicaPlanner {
+    /// Starts a term with `fence`.
+    ///
+    /// Groups are numbered from a part of the fence's numbers that `part` picks, so
+    /// that those of a planner which handed the fence over are not used again.
+    pub fn new(fence: Fence, part: u64) -> Self {
+        let first = fence * EPOCHS_PER_FENCE + (part % PARTS_PER_FENCE) * EPOCHS_PER_PART;
+        Self {
+            next_epoch: first + 1,
+            formations: BTreeMap::new(),
+            retry_at: BTreeMap::new(),
+            loading: BTreeMap::new(),
+            warming: BTreeMap::new(),
+            warmed: BTreeMap::new(),
+            left: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the orders that are due.
+    pub fn plan(&mut self, input: &PlannerInput<'_>) -> Vec<PlannedOrder> {
+        let mut orders = Vec::new();
+        self.forget(input);
+        for (name, service) in &input.config.services {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let held = self.tend_groups(name, input, &mut orders);
+            let mut sorting = Sorting {
+                engine,
+                free: Vec::new(),
+            };
+            for record in input.table.iter() {
+                let is_usable = record.service == *name
+                    && record.state == EndpointState::Ready
+                    && !input.lost.contains(&record.id)
+                    && !held.contains(&record.id);
+                if is_usable && self.has_no_group(record, input, &mut orders) {
+                    sorting.free.push(record);
+                }
+            }
+            self.form_groups(&mut sorting, input, &mut orders);
+            self.warm_spares(&mut sorting, input, &mut orders);
+            self.stage_weights(&sorting, input, &mut orders);
+        }
+        orders
+    }
+
+    /// Takes the answer to an order.
+    pub fn observe_answer(&mut self, order: &PlannedOrder, answer: OrderAnswer, now: Instant) {
+        let has_begun = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
+        if let ReplicaOrder::Leave { key } = &order.order
+            && has_begun
+        {
+            self.left.insert(order.endpoint.clone(), key.clone());
+        }
+        let is_stage = matches!(order.order, ReplicaOrder::Stage { .. });
+        if is_stage && !matches!(answer, OrderAnswer::Conflict) && !has_begun {
+            // Nothing is known of the load, so it is wished for again.
+            self.loading.remove(&order.endpoint);
+        }
+        let pause = match answer {
+            OrderAnswer::Conflict | OrderAnswer::Unanswered => REPEAT_PAUSE,
+            _ => ORDER_RETRY,
+        };
+        let key = (order.endpoint.clone(), order.order.name());
+        self.retry_at.insert(key, now + pause);
+    }
+
+    /// Tells whether changes of engines are awaited.
+    pub fn is_mending(&self) -> bool {
+        !(self.formations.is_empty() && self.left.is_empty() && self.warming.is_empty())
+    }
+
+    fn forget(&mut self, input: &PlannerInput<'_>) {
+        let now = input.now;
+        self.retry_at.retain(|_, at| now < *at);
+        self.loading.retain(|id, loading| {
+            let Some(record) = input.table.get(id) else {
+                return false;
+            };
+            now < loading.give_up_at && !record.has_staged(&loading.model)
+        });
+        let retry_at = &self.retry_at;
+        self.warming.retain(|id, key| {
+            let record = input.table.get(id);
+            let joined = record.and_then(|record| record.membership.as_ref());
+            // A join that has not shown by now was lost or refused.
+            let is_shown = joined.is_some_and(|joined| joined.key == *key);
+            is_shown || (record.is_some() && retry_at.contains_key(&(id.clone(), "join")))
+        });
+        self.warmed.retain(|id, _| input.table.get(id).is_some());
+        let groups = &input.groups.groups;
+        self.left.retain(|id, key| {
+            let record = input.table.get(id);
+            let shown = record.and_then(|record| record.membership.as_ref());
+            shown.is_some_and(|membership| membership.key == *key)
+        });
+        // No key is ever used twice, whoever numbered the groups that are there.
+        let newest = groups.keys().map(|key| key.epoch).max().unwrap_or(0);
+        self.next_epoch = self.next_epoch.max(newest + 1);
+    }
+
+    fn next_key(&mut self, letter: char) -> GroupKey {
+        let epoch = self.next_epoch;
+        self.next_epoch += 1;
+        GroupKey {
+            group: format!("{letter}{epoch}").into(),
+            epoch,
+        }
+    }
+
+    /// Adds an order unless the same one is under way; tells whether it was added.
+    fn push(
+        &mut self,
+        id: &EndpointId,
+        order: ReplicaOrder,
+        reason: &'static str,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> bool {
+        let key = (id.clone(), order.name());
+        let is_under_way = self.retry_at.get(&key).is_some_and(|at| input.now < *at);
+        if is_under_way {
+            return false;
+        }
+        let Some(record) = input.table.get(id) else {
+            return false;
+        };
+        self.retry_at.insert(key, input.now + ORDER_RETRY);
+        orders.push(PlannedOrder {
+            endpoint: id.clone(),
+            address: record.address,
+            order,
+            reason,
+        });
+        true
+    }
+}
+
+impl Formation {
+    fn join(&self, key: &GroupKey) -> ReplicaOrder {
+        ReplicaOrder::Join {
+            key: key.clone(),
+            model: self.model.clone(),
+            members: self.members.clone(),
+        }
+    }
+}
+
+fn by_domain<'a>(records: &[&'a EndpointRecord]) -> BTreeMap<DomainId, Vec<&'a EndpointRecord>> {
+    let mut domains: BTreeMap<DomainId, Vec<&EndpointRecord>> = BTreeMap::new();
+    for record in records {
+        domains
+            .entry(record.domain.clone())
+            .or_default()
+            .push(record);
+    }
+    domains
+}
--- /dev/null
+++ b/lib/src/fleet/replica_planner/stage_weights.rs
@@ -0,0 +1,155 @@
+//! Which VM loads which model, and in which order.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::super::EndpointRecord;
+use super::super::PlannedOrder;
+use super::super::PlannerInput;
+use super::super::ReplicaOrder;
+use super::Loading;
+use super::ReplicaPlanner;
+use super::Sorting;
+use super::by_domain;
+use crate::serving::EngineProfile;
+use crate::serving::ModelProfile;
+
+/// Loads may take this many times their nominal time before they count as lost.
+const LOAD_PATIENCE: u64 = 4;
+
+impl ReplicaPlanner {
+    /// Chooses models for VMs that hold none and has them loaded, those first whose
+    /// load lets a group be formed of the model that has fewest groups.
+    pub(super) fn stage_weights(
+        &mut self,
+        sorting: &Sorting<'_>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let mut wishes = Vec::new();
+        for (domain, records) in by_domain(&sorting.free) {
+            for record in records.iter().copied() {
+                if !record.staged.is_empty() || self.loading.contains_key(&record.id) {
+                    continue;
+                }
+                let Some(profile) = self.choose_model(&domain, record, sorting.engine, input)
+                else {
+                    continue;
+                };
+                let missing = self.missing_members(&records, profile);
+                let coverage = serving_share(input, profile);
+                wishes.push((missing, coverage, record, profile));
+                if !input.has_traffic {
+                    // Each choice counts for the next ones.
+                    self.begin_load(record, profile, input, orders);
+                }
+            }
+        }
+        if !input.has_traffic {
+            return;
+        }
+        wishes.sort_by(|left, right| {
+            let by_missing = left.0.cmp(&right.0);
+            left.1.total_cmp(&right.1).then(by_missing)
+        });
+        let limit = sorting.engine.parallel_loads.max(1);
+        for (_, _, record, profile) in wishes {
+            if self.loading.len() >= limit {
+                return;
+            }
+            self.begin_load(record, profile, input, orders);
+        }
+    }
+
+    /// Returns how many members the next group of a model still lacks in a domain.
+    fn missing_members(&self, free: &[&EndpointRecord], profile: &ModelProfile) -> usize {
+        let holds = |record: &&&EndpointRecord| {
+            let loading = self.loading.get(&record.id);
+            record.has_staged(&profile.model)
+                || loading.is_some_and(|loading| loading.model == profile.model)
+        };
+        let held = free.iter().filter(holds).count();
+        profile.size - held % profile.size
+    }
+
+    fn begin_load(
+        &mut self,
+        record: &EndpointRecord,
+        profile: &ModelProfile,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let span = Duration::from_millis(profile.load_ms * LOAD_PATIENCE);
+        let loading = Loading {
+            model: profile.model.clone(),
+            give_up_at: input.now + span,
+        };
+        let order = ReplicaOrder::Stage {
+            model: profile.model.clone(),
+        };
+        // An order that is still under way is not a new load.
+        if self.push(
+            &record.id,
+            order,
+            "the host holds no weights",
+            input,
+            orders,
+        ) {
+            self.loading.insert(record.id.clone(), loading);
+        }
+    }
+
+    /// Chooses the model of an empty VM: the one of its domain, so that what is
+    /// left of broken groups can be joined; in a new domain the one that is short.
+    fn choose_model<'a>(
+        &self,
+        domain: &str,
+        record: &EndpointRecord,
+        engine: &'a EngineProfile,
+        input: &PlannerInput<'_>,
+    ) -> Option<&'a ModelProfile> {
+        let mut in_domain: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut domains: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        let mut zone_domains: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for other in input.table.iter() {
+            if other.service != record.service {
+                continue;
+            }
+            let loading = self.loading.get(&other.id).map(|loading| &loading.model);
+            let Some(model) = loading.or(other.staged.first()) else {
+                continue;
+            };
+            domains.entry(model).or_default().insert(&other.domain);
+            if other.domain == domain {
+                *in_domain.entry(model).or_default() += 1;
+            }
+            if other.zone == record.zone {
+                zone_domains.entry(model).or_default().insert(&other.domain);
+            }
+        }
+        let weight = |counts: &BTreeMap<&str, BTreeSet<&str>>, profile: &ModelProfile| {
+            let count = counts.get(profile.model.as_str()).map_or(0, BTreeSet::len);
+            count as f64 / profile.share.max(0.01)
+        };
+        let settled = engine
+            .models
+            .iter()
+            .max_by_key(|profile| in_domain.get(profile.model.as_str()).copied().unwrap_or(0))?;
+        if in_domain.contains_key(settled.model.as_str()) {
+            return Some(settled);
+        }
+        engine.models.iter().min_by(|left, right| {
+            let zone = weight(&zone_domains, left).total_cmp(&weight(&zone_domains, right));
+            zone.then(weight(&domains, left).total_cmp(&weight(&domains, right)))
+        })
+    }
+}
+
+/// Returns the VMs in serving groups of a model against its share of the work.
+fn serving_share(input: &PlannerInput<'_>, profile: &ModelProfile) -> f64 {
+    let groups = input.groups.groups.values();
+    let serving = groups.filter(|group| group.model == profile.model && group.is_serving());
+    let members = serving.count() * profile.size;
+    members as f64 / profile.share.max(0.01)
+}
--- /dev/null
+++ b/lib/src/fleet/replica_planner/tend_groups.rs
@@ -0,0 +1,195 @@
+//! Groups that are there: opened, closed when a member leaves, dissolved when one is
+//! lost.
+
+use std::collections::BTreeSet;
+
+use super::super::EndpointRecord;
+use super::super::EndpointState;
+use super::super::GroupKey;
+use super::super::GroupSummary;
+use super::super::MemberState;
+use super::super::PlannedOrder;
+use super::super::PlannerInput;
+use super::super::ReplicaOrder;
+use super::Formation;
+use super::ReplicaPlanner;
+use crate::ids::EndpointId;
+
+impl ReplicaPlanner {
+    /// Tends all groups of a service; returns the VMs that are not free.
+    pub(super) fn tend_groups(
+        &mut self,
+        service: &str,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> BTreeSet<EndpointId> {
+        let mut held = BTreeSet::new();
+        for summary in input.groups.groups.values() {
+            if summary.service != service || self.formations.contains_key(&summary.key) {
+                continue;
+            }
+            held.extend(self.tend_group(summary, input, orders));
+        }
+        let keys: Vec<GroupKey> = self.formations.keys().cloned().collect();
+        for key in keys {
+            held.extend(self.tend_formation(&key, input, orders));
+        }
+        held
+    }
+
+    /// Tends a group that is not being formed; returns the members that it binds.
+    fn tend_group(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> Vec<EndpointId> {
+        if let Some(bound) = self.tend_warming(summary, input, orders) {
+            return bound;
+        }
+        let members = || summary.members.iter().map(|(_, id, _)| id.clone());
+        let has_lost = members().any(|id| input.lost.contains(&id));
+        let is_whole = summary.is_whole() && !has_lost;
+        match summary.head_state() {
+            Some(MemberState::Open) if is_whole && !summary.is_draining => members().collect(),
+            Some(MemberState::Ready | MemberState::Joining) if is_whole && !summary.is_draining => {
+                let formation = Formation {
+                    model: summary.model.clone(),
+                    members: members().collect(),
+                };
+                self.formations.insert(summary.key.clone(), formation);
+                members().collect()
+            }
+            Some(MemberState::Open) if is_whole => {
+                self.close_gently(summary, input, orders);
+                members().collect()
+            }
+            Some(MemberState::Closing) if is_whole => members().collect(),
+            _ => self.dissolve(summary, input, orders),
+        }
+    }
+
+    /// Lets a group whose member is about to leave finish what it has.
+    fn close_gently(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let Some(head) = summary.head() else {
+            return;
+        };
+        let order = ReplicaOrder::Close {
+            key: summary.key.clone(),
+            is_abrupt: false,
+        };
+        self.push(head, order, "a member is leaving", input, orders);
+    }
+
+    /// Has what is left of a broken group leave it; returns those that have not yet.
+    ///
+    /// A member that has left may join another group at once, whatever its old
+    /// head does: a head that cannot be reached may still be open.
+    pub(super) fn dissolve(
+        &mut self,
+        summary: &GroupSummary,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> Vec<EndpointId> {
+        let mut bound = Vec::new();
+        for (_, id, _) in &summary.members {
+            if self.left.get(id) == Some(&summary.key) || input.lost.contains(id) {
+                continue;
+            }
+            bound.push(id.clone());
+            let key = summary.key.clone();
+            self.push(
+                id,
+                ReplicaOrder::Leave { key },
+                "a member is lost",
+                input,
+                orders,
+            );
+        }
+        bound
+    }
+
+    /// Tells whether a VM is in no group; one that is in a group of which nothing
+    /// is known is told to leave it.
+    pub(super) fn has_no_group(
+        &mut self,
+        record: &EndpointRecord,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> bool {
+        let Some(membership) = &record.membership else {
+            return !self.warming.contains_key(&record.id);
+        };
+        if self.left.get(&record.id) == Some(&membership.key) {
+            return true;
+        }
+        // A member that joins does not name its model before it holds it.
+        let is_joining = membership.state == MemberState::Joining;
+        if !is_joining && !input.groups.groups.contains_key(&membership.key) {
+            let key = membership.key.clone();
+            let order = ReplicaOrder::Leave { key };
+            self.push(&record.id, order, "its group is not known", input, orders);
+        }
+        false
+    }
+
+    /// Tends a group that is being formed; returns the VMs that it binds.
+    fn tend_formation(
+        &mut self,
+        key: &GroupKey,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) -> Vec<EndpointId> {
+        let Some(formation) = self.formations.get(key).cloned() else {
+            return Vec::new();
+        };
+        let is_possible = formation.members.iter().all(|id| {
+            let record = input.table.get(id);
+            let is_ready = record.is_some_and(|record| {
+                record.state == EndpointState::Ready && self.may_join(record, key)
+            });
+            is_ready && !input.lost.contains(id)
+        });
+        let summary = input.groups.groups.get(key);
+        if !is_possible {
+            self.formations.remove(key);
+            return summary.map_or(Vec::new(), |summary| self.dissolve(summary, input, orders));
+        }
+        if summary.is_some_and(|summary| summary.is_serving()) {
+            self.formations.remove(key);
+            return formation.members;
+        }
+        let head = formation.members[0].clone();
+        if summary.is_some_and(|summary| summary.is_loaded()) {
+            let order = ReplicaOrder::Open { key: key.clone() };
+            self.push(&head, order, "all members are ready", input, orders);
+            return formation.members;
+        }
+        for id in &formation.members {
+            let joined = input
+                .table
+                .get(id)
+                .and_then(|record| record.membership.as_ref());
+            if joined.is_some_and(|membership| membership.key == *key) {
+                continue;
+            }
+            let order = formation.join(key);
+            self.push(id, order, "a member has not joined yet", input, orders);
+        }
+        formation.members
+    }
+
+    /// Tells whether a VM is in no group, or in the one that is being formed; an
+    /// order of an earlier planner may have come between.
+    fn may_join(&self, record: &EndpointRecord, key: &GroupKey) -> bool {
+        let Some(membership) = &record.membership else {
+            return true;
+        };
+        membership.key == *key || self.left.get(&record.id) == Some(&membership.key)
+    }
+}
--- a/lib/tests/test_replica_planner.rs
+++ b/lib/tests/test_replica_planner.rs
@@ -142,3 +142,22 @@
         assert_eq!(sim.serving()["wide"], before, "seed {seed}");
     }
 }
+
+/// A load whose order was lost is ordered again, not waited for.
+#[test]
+fn a_load_that_was_not_answered_is_ordered_again() {
+    for seed in 0..20 {
+        let mut sim = ReplicaSim::new(SimPlan::default(), seed);
+        sim.run(LEAD_MS);
+        sim.has_traffic = true;
+        sim.plan.late_share = 0.5;
+        let id = sim.add_vm(0, 0);
+        // A load takes 16 s; late orders are carried out up to 12 s later.
+        sim.run(20_000);
+        assert!(
+            sim.vms[&id].has_staged(),
+            "seed {seed}: no weights after 20 s"
+        );
+        assert_eq!(sim.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -73,6 +73,11 @@
         self.membership.is_some()
     }
 
+    /// Tells whether its host holds weights.
+    pub fn has_staged(&self) -> bool {
+        !self.staged.is_empty()
+    }
+
     /// A VM names its model while it holds it as a member.
     fn shown_model(&self) -> Option<ModelId> {
         let membership = self.membership.as_ref()?;
--- a/node/src/settings/node_settings.rs
+++ b/node/src/settings/node_settings.rs
@@ -6,7 +6,6 @@
 
 use jujuberoad::config::ConfigProblem;
 use jujuberoad::config::IniDocument;
-use jujuberoad::config::IniSection;
 use jujuberoad::config::SectionReader;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ZoneId;
@@ -53,20 +52,7 @@
         let document = IniDocument::merge(&files)?;
         let mut problems = Vec::new();
         refuse_unknown_sections(&document, &mut problems);
-        let empty = |kind: &str| IniSection {
-            kind: kind.into(),
-            name: SmolStr::default(),
-            file: file.clone(),
-            line: 0,
-            entries: BTreeMap::new(),
-        };
-        let section = |kind: &str| {
-            document
-                .of_kind(kind)
-                .next()
-                .cloned()
-                .unwrap_or_else(|| empty(kind))
-        };
+        let section = |kind: &str| document.single(kind, &file);
 
         let process = section("process");
         let mut reader = SectionReader::new(&process, &mut problems);
