fleet: a report never overrules an entry that can be read

Cause: the kiosks' incident: from second 15 to 23 members that had left their groups were not used again, so the wide model kept 2 of 6 groups. Before a join the placer asks the engine and took its report, which is some hundred milliseconds old, into its table; the report put back the group that the registry had just shown as left, and the entry was not written again. Ruled out: a stale registry (its age was below 0.8 s), orders that got no answer. Change: reports count only while the registry cannot be read; what peers read in a newer registry still counts.

--- a/gateway/src/belief_board.rs
+++ b/gateway/src/belief_board.rs
@@ -117,6 +117,20 @@
         is_news
     }
 
+    /// Takes what a peer read in a newer registry.
+    pub(crate) fn apply_relayed(&self, id: &EndpointId, report: EngineReport) {
+        let mut state = self.state.lock().expect("belief lock");
+        if state.table.apply_relayed(id, report) {
+            state.derive();
+        }
+    }
+
+    /// Notes whether the registry cannot be read.
+    pub(crate) fn set_registry_lost(&self, is_lost: bool) {
+        let mut state = self.state.lock().expect("belief lock");
+        state.table.set_registry_lost(is_lost);
+    }
+
     /// Returns an endpoint.
     pub(crate) fn endpoint(&self, id: &EndpointId) -> Option<EndpointRecord> {
         self.state
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -139,6 +139,24 @@
     }
 }
 
+impl PeerDesk {
+    /// Takes what a newer registry showed, or engines said while it is away.
+    fn take_observed(&self, as_of: Option<StoreVersion>, reports: Vec<(EndpointId, EngineReport)>) {
+        let board = &self.core.board;
+        let known = board.view().registry_version;
+        for (endpoint, report) in reports {
+            match as_of {
+                Some(version) if version > known => board.apply_relayed(&endpoint, report),
+                Some(_) => continue,
+                None => {
+                    board.apply_report(&endpoint, report);
+                }
+            }
+        }
+        self.core.queue.wake_all();
+    }
+}
+
 impl PeerHandler for PeerDesk {
     fn question(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, _from: SocketAddr) {
         match frame.message {
@@ -156,18 +174,7 @@
                 reports,
             } => {
                 self.core.session.observe_peer_fence(placer);
-                let known = self.core.board.view().registry_version;
-                let is_news = match as_of {
-                    Some(version) => version > known,
-                    // A registry that can be read knows better.
-                    None => self.core.is_registry_lost.load(Ordering::Relaxed),
-                };
-                if is_news {
-                    for (endpoint, report) in reports {
-                        self.core.board.apply_report(&endpoint, report);
-                    }
-                    self.core.queue.wake_all();
-                }
+                self.take_observed(as_of, reports);
             }
             PeerMessage::Handover { fence } => self.take_over(fence, &frame.sender),
             PeerMessage::Silent { endpoint, lost, .. } => self.take_silence(&endpoint, &lost),
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -123,6 +123,7 @@
 
     fn note_contact(&self, core: &GatewayCore, is_lost: bool) {
         core.is_registry_lost.store(is_lost, Ordering::Relaxed);
+        core.board.set_registry_lost(is_lost);
     }
 
     fn pace(&self, core: &GatewayCore) -> Duration {
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -15,6 +15,7 @@
 pub struct EndpointTable {
     records: BTreeMap<EndpointId, EndpointRecord>,
     missing_until: BTreeMap<EndpointId, Instant>,
+    is_registry_lost: bool,
 }
 
 impl EndpointTable {
@@ -78,10 +79,22 @@
         has_changed
     }
 
+    /// Notes whether the registry cannot be read.
+    pub fn set_registry_lost(&mut self, is_lost: bool) {
+        self.is_registry_lost = is_lost;
+    }
+
     /// Takes what an endpoint said when it was asked; tells whether that is news.
     ///
-    /// A report of another life is passed over.
+    /// A report is some hundred milliseconds old, so it counts only while the registry
+    /// cannot be read: an entry that it put back would not be written again.
     pub fn apply_report(&mut self, id: &str, report: EngineReport) -> bool {
+        self.is_registry_lost && self.apply_relayed(id, report)
+    }
+
+    /// Takes what a peer read in a registry that is newer than the one known here;
+    /// tells whether that is news. A report of another life is passed over.
+    pub fn apply_relayed(&mut self, id: &str, report: EngineReport) -> bool {
         let Some(record) = self.records.get_mut(id) else {
             return false;
         };
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -155,6 +155,10 @@
         model: Some("m".into()),
         ..EngineReport::default()
     };
+    // A report is older than an entry that can be read: the entry would never be
+    // written again, and what the report put back would stay.
+    assert!(!table.apply_report("a", report.clone()));
+    table.set_registry_lost(true);
     assert!(table.apply_report("a", report.clone()));
     let group = |table: &EndpointTable| {
         let record = table.get("a").expect("an endpoint");
