fleet: prompts that peers told of fade at the engine's reading rate

Cause: on the grown drying logs a stream of the wide model had a pause of 325 ms in one case of ten (longest pause on time: 300 ms), and one of four was late. A pass reads up to 12,288 prompt tokens between two events, and that many came together: digests are 200 ms old with thirty peers, their unread prompts were counted as if still unread, so all routers shunned the same idle engines and crowded the others.

Ruled out (simulated, 69 streams a second on 9 engines, 30 routers): more spread (30 and 60 ms: paused 0.025 and 0.022 against 0.019), a sample of half of the engines (0.015), no news of peers (0.005, but first events over 300 ms 0.022), digests in the zone each 40 ms (0.004 and 0.007, at 5 times the messages in the zone).

Change: a peer's unread prompts are read since its digest, a token in the engine's time.

--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -164,9 +164,9 @@
                 if let Some(fence) = placer {
                     self.core.session.observe_peer_fence(fence);
                 }
-                let valid_until = Instant::now() + DIGEST_VALID;
+                let now = Instant::now();
                 let mut table = self.core.loads.lock().expect("load lock");
-                table.observe_peer(frame.sender, loads, valid_until);
+                table.observe_peer(frame.sender, loads, now, now + DIGEST_VALID);
             }
             PeerMessage::Observed {
                 placer,
--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -118,6 +118,7 @@
             zone: &core.settings.zone,
             avoided: &avoided,
             extra: 0,
+            now,
         };
         let target = picker.pick(targets, fastrand::f64)?.clone();
         loads.begin(&target.endpoint, need.prompt_tokens);
--- a/lib/src/fleet/load_table.rs
+++ b/lib/src/fleet/load_table.rs
@@ -1,6 +1,7 @@
 //! How much work each endpoint has been given.
 
 use std::collections::HashMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use serde::Deserialize;
@@ -28,6 +29,7 @@
 #[derive(Clone, Debug)]
 struct PeerLoad {
     loads: HashMap<EndpointId, EndpointLoad>,
+    seen_at: Instant,
     valid_until: Instant,
 }
 
@@ -58,15 +60,20 @@
         }
     }
 
-    /// Takes what a peer says; it counts until `valid_until`.
+    /// Takes what a peer says at `seen_at`; it counts until `valid_until`.
     pub fn observe_peer(
         &mut self,
         peer: RouterId,
         loads: Vec<(EndpointId, EndpointLoad)>,
+        seen_at: Instant,
         valid_until: Instant,
     ) {
-        let loads = loads.into_iter().collect();
-        self.peers.insert(peer, PeerLoad { loads, valid_until });
+        let load = PeerLoad {
+            loads: loads.into_iter().collect(),
+            seen_at,
+            valid_until,
+        };
+        self.peers.insert(peer, load);
     }
 
     /// Forgets peers that have not spoken in time.
@@ -75,14 +82,24 @@
     }
 
     /// Returns the work at an endpoint over all routers.
-    pub fn total(&self, endpoint: &EndpointId) -> EndpointLoad {
+    ///
+    /// Prompts of which a peer has told are read since then, a token in
+    /// `read_ms_per_token`; counted as they were told, they would have all routers
+    /// shun the same endpoints long after those are idle, and crowd the others.
+    pub fn total(
+        &self,
+        endpoint: &EndpointId,
+        read_ms_per_token: f64,
+        now: Instant,
+    ) -> EndpointLoad {
         let mut total = self.own.get(endpoint).copied().unwrap_or_default();
         for peer in self.peers.values() {
             let Some(load) = peer.loads.get(endpoint) else {
                 continue;
             };
             total.requests += load.requests;
-            total.unread_tokens += load.unread_tokens;
+            let age = now.saturating_duration_since(peer.seen_at);
+            total.unread_tokens += still_unread(load.unread_tokens, read_ms_per_token, age);
         }
         total
     }
@@ -97,3 +114,12 @@
         self.peers.len()
     }
 }
+
+/// Returns what is left of `tokens` unread ones after `age`.
+fn still_unread(tokens: u32, read_ms_per_token: f64, age: Duration) -> u32 {
+    if read_ms_per_token <= 0.0 {
+        return tokens;
+    }
+    let read = age.as_secs_f64() * 1_000.0 / read_ms_per_token;
+    (f64::from(tokens) - read).max(0.0) as u32
+}
--- a/lib/src/fleet/target_picker.rs
+++ b/lib/src/fleet/target_picker.rs
@@ -1,9 +1,10 @@
 //! Picks the target whose first event comes soonest.
 
+use std::time::Instant;
+
 use super::EndpointLoad;
 use super::LoadTable;
 use super::ServingTarget;
-use crate::ids::EndpointId;
 
 /// Delay that a target in another zone must save to be preferred: bytes between
 /// zones are billed, and a round trip costs up to 3 ms.
@@ -21,6 +22,8 @@
     pub avoided: &'a dyn Fn(&ServingTarget) -> bool,
     /// Requests above the slots of a target that may be sent to it, to queue there.
     pub extra: u32,
+    /// The current time.
+    pub now: Instant,
 }
 
 impl TargetPicker<'_> {
@@ -32,7 +35,7 @@
     ) -> Option<&'t ServingTarget> {
         let mut best: Option<(f64, &ServingTarget)> = None;
         for target in targets {
-            let load = self.load(&target.endpoint);
+            let load = self.load(target);
             if load.requests >= target.slots + self.extra || (self.avoided)(target) {
                 continue;
             }
@@ -47,8 +50,9 @@
         best.map(|(_, target)| target)
     }
 
-    fn load(&self, endpoint: &EndpointId) -> EndpointLoad {
-        self.loads.total(endpoint)
+    fn load(&self, target: &ServingTarget) -> EndpointLoad {
+        self.loads
+            .total(&target.endpoint, target.read_ms_per_token, self.now)
     }
 }
 
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -261,12 +261,14 @@
 fn the_target_with_the_soonest_first_event_is_picked() {
     let targets = [target("far", "z2"), target("near", "z1")];
     let mut loads = LoadTable::default();
+    let now = Instant::now();
     let pick = |loads: &LoadTable| {
         let picker = TargetPicker {
             loads,
             zone: "z1",
             avoided: &|_| false,
             extra: 0,
+            now,
         };
         picker
             .pick(&targets, || 0.5)
@@ -279,14 +281,13 @@
     }
     assert_snapshot!(order.join(" "), @"near far near far near far near far");
     // A peer's work counts until it has not spoken for a while.
-    let now = Instant::now();
     let mut loads = LoadTable::default();
     let full = EndpointLoad {
         requests: 4,
         unread_tokens: 0,
     };
     let until = now + Duration::from_millis(500);
-    loads.observe_peer("r2".into(), vec![("near".into(), full)], until);
+    loads.observe_peer("r2".into(), vec![("near".into(), full)], now, until);
     assert_eq!(pick(&loads).as_deref(), Some("far"));
     loads.expire(until);
     assert_eq!(pick(&loads).as_deref(), Some("near"));
--- /dev/null
+++ b/lib/tests/testutils/choice_sim.rs
@@ -0,0 +1,357 @@
+//! Routers that choose among engines with late news of each other, in virtual time.
+//!
+//! An engine works in passes: each pass brings one event of every running stream and
+//! reads waiting prompts meanwhile, so prompts that arrive together hold up all streams.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use fastrand::Rng;
+use jujuberoad::fleet::LoadTable;
+use jujuberoad::fleet::ServingTarget;
+use jujuberoad::fleet::TargetPicker;
+use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::RouterId;
+use jujuberoad::ids::ZoneId;
+
+/// Time from a digest to its sight by a peer.
+const PEER_DELAY_MS: u64 = 2;
+
+/// Settings of a world.
+#[derive(Clone, Debug)]
+pub struct ChoicePlan {
+    pub routers_per_zone: usize,
+    /// Engines in each zone.
+    pub heads: Vec<usize>,
+    pub slots: u32,
+    pub requests_per_second: f64,
+    /// Mean length of a prompt, and the spread of its logarithm.
+    pub prompt_tokens: (f64, f64),
+    /// Longest prompt.
+    pub longest_prompt: u32,
+    /// Mean number of events of a stream.
+    pub events: f64,
+    /// Time of a pass without other work, in milliseconds.
+    pub pass_ms: f64,
+    pub read_ms_per_token: f64,
+    /// Prompt tokens that are read in one pass at most.
+    pub tokens_per_pass: u32,
+    /// Pause between two digests of a router.
+    pub digest_ms: u64,
+}
+
+impl Default for ChoicePlan {
+    /// Ten wide groups before thirty routers, at a third of their work.
+    fn default() -> Self {
+        Self {
+            routers_per_zone: 10,
+            heads: vec![3, 3, 3],
+            slots: 20,
+            requests_per_second: 69.0,
+            prompt_tokens: (1_600.0, 0.9),
+            longest_prompt: 5_880,
+            events: 18.0,
+            pass_ms: 47.0,
+            read_ms_per_token: 1.0 / 45.9,
+            tokens_per_pass: 6 * 2_048,
+            digest_ms: 200,
+        }
+    }
+}
+
+/// What callers have seen.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ChoiceOutcome {
+    pub streams: u32,
+    /// Streams with a pause over 300 ms.
+    pub paused: u32,
+    /// Streams whose first event took over 300 ms from the choice on.
+    pub slow_first: u32,
+    /// Streams for which every engine was full.
+    pub refused: u32,
+    /// Streams sent to another zone.
+    pub far: u32,
+}
+
+impl ChoiceOutcome {
+    pub fn add(&mut self, other: &Self) {
+        self.streams += other.streams;
+        self.paused += other.paused;
+        self.slow_first += other.slow_first;
+        self.refused += other.refused;
+        self.far += other.far;
+    }
+
+    pub fn share(&self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.streams.max(1))
+    }
+}
+
+impl fmt::Display for ChoiceOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} streams: paused {:.4} slow {:.4} refused {:.4} far {:.4}",
+            self.streams,
+            self.share(self.paused),
+            self.share(self.slow_first),
+            self.share(self.refused),
+            self.share(self.far)
+        )
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Stream {
+    router: usize,
+    tokens: u32,
+    unread: f64,
+    events_left: u32,
+    sent_at: f64,
+    last_event_at: Option<f64>,
+    has_paused: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Head {
+    prompts: VecDeque<Stream>,
+    writers: Vec<Stream>,
+    pass: Option<Pass>,
+}
+
+#[derive(Clone, Debug)]
+struct Pass {
+    ends_at: f64,
+    reads: usize,
+    partly: f64,
+}
+
+/// The world.
+pub struct ChoiceSim {
+    plan: ChoicePlan,
+    rng: Rng,
+    start: Instant,
+    now_ms: u64,
+    targets: Vec<ServingTarget>,
+    heads: Vec<Head>,
+    routers: Vec<LoadTable>,
+    next_digest: Vec<u64>,
+    digests: VecDeque<(u64, usize)>,
+    pub outcome: ChoiceOutcome,
+}
+
+impl ChoiceSim {
+    pub fn new(plan: ChoicePlan, seed: u64) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let mut targets = Vec::new();
+        let zones = plan.heads.len();
+        let places = plan.heads.iter().enumerate();
+        let places = places.flat_map(|(zone, count)| std::iter::repeat_n(zone, *count));
+        for (index, place) in places.enumerate() {
+            targets.push(ServingTarget {
+                endpoint: format!("h{index}").into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                zone: zone(place),
+                group: None,
+                members: Vec::new(),
+                slots: plan.slots,
+                cold_until: None,
+                cold_per_second: 0.0,
+                read_ms_per_token: plan.read_ms_per_token,
+                pass_ms: plan.pass_ms,
+                pass_ms_per_request: 0.6,
+            });
+        }
+        let count = zones * plan.routers_per_zone;
+        let next_digest: Vec<u64> = (0..count).map(|_| rng.u64(0..plan.digest_ms)).collect();
+        Self {
+            heads: vec![Head::default(); targets.len()],
+            targets,
+            routers: vec![LoadTable::default(); count],
+            next_digest,
+            digests: VecDeque::new(),
+            plan,
+            rng,
+            start: Instant::now(),
+            now_ms: 0,
+            outcome: ChoiceOutcome::default(),
+        }
+    }
+
+    /// Lets `span_ms` pass.
+    pub fn run(&mut self, span_ms: u64) {
+        for _ in 0..span_ms {
+            self.now_ms += 1;
+            self.tell_peers();
+            let chance = self.plan.requests_per_second / 1_000.0;
+            if self.rng.f64() < chance {
+                self.send_one();
+            }
+            for index in 0..self.heads.len() {
+                self.advance(index);
+            }
+        }
+    }
+
+    fn tell_peers(&mut self) {
+        for router in 0..self.routers.len() {
+            if self.now_ms >= self.next_digest[router] {
+                self.next_digest[router] += self.plan.digest_ms;
+                self.digests
+                    .push_back((self.now_ms + PEER_DELAY_MS, router));
+            }
+        }
+        while self
+            .digests
+            .front()
+            .is_some_and(|(at, _)| *at <= self.now_ms)
+        {
+            let Some((_, from)) = self.digests.pop_front() else {
+                return;
+            };
+            let own = self.routers[from].own();
+            let loads: Vec<_> = own.map(|(id, load)| (id.clone(), *load)).collect();
+            let now = self.instant();
+            let name: RouterId = format!("r{from}").into();
+            for (index, table) in self.routers.iter_mut().enumerate() {
+                if index != from {
+                    let until = now + Duration::from_millis(600);
+                    table.observe_peer(name.clone(), loads.clone(), now, until);
+                }
+            }
+        }
+    }
+
+    fn send_one(&mut self) {
+        let router = self.rng.usize(0..self.routers.len());
+        let tokens = self.draw_tokens();
+        let own_zone = zone(router % self.plan.heads.len());
+        let mut rng = self.rng.fork();
+        let picker = TargetPicker {
+            loads: &self.routers[router],
+            zone: &own_zone,
+            avoided: &|_| false,
+            extra: 0,
+            now: self.instant(),
+        };
+        self.outcome.streams += 1;
+        let Some(target) = picker.pick(&self.targets, || rng.f64()) else {
+            self.outcome.refused += 1;
+            return;
+        };
+        self.outcome.far += u32::from(target.zone != own_zone);
+        let id: EndpointId = target.endpoint.clone();
+        let mut targets = self.targets.iter();
+        let index = targets
+            .position(|other| other.endpoint == id)
+            .expect("a target");
+        self.routers[router].begin(&id, tokens);
+        let events = (-self.rng.f64().max(1e-9).ln() * self.plan.events).ceil();
+        self.heads[index].prompts.push_back(Stream {
+            router,
+            tokens,
+            unread: f64::from(tokens),
+            events_left: events.clamp(1.0, 70.0) as u32,
+            sent_at: self.now_ms as f64,
+            last_event_at: None,
+            has_paused: false,
+        });
+    }
+
+    fn draw_tokens(&mut self) -> u32 {
+        let (mean, spread) = self.plan.prompt_tokens;
+        let mut normal = -6.0;
+        for _ in 0..12 {
+            normal += self.rng.f64();
+        }
+        let tokens = mean * (spread * normal - spread * spread / 2.0).exp();
+        tokens.clamp(40.0, f64::from(self.plan.longest_prompt)) as u32
+    }
+
+    fn advance(&mut self, index: usize) {
+        let now = self.now_ms as f64;
+        let Some(pass) = self.heads[index].pass.clone() else {
+            self.begin_pass(index, now);
+            return;
+        };
+        if now < pass.ends_at {
+            return;
+        }
+        self.end_pass(index, &pass);
+        self.begin_pass(index, now);
+    }
+
+    fn begin_pass(&mut self, index: usize, now: f64) {
+        let head = &mut self.heads[index];
+        if head.prompts.is_empty() && head.writers.is_empty() {
+            return;
+        }
+        let mut budget = f64::from(self.plan.tokens_per_pass);
+        let mut read = 0.0;
+        let (mut reads, mut partly) = (0, 0.0);
+        for prompt in &head.prompts {
+            if prompt.unread <= budget {
+                budget -= prompt.unread;
+                read += prompt.unread;
+                reads += 1;
+                continue;
+            }
+            partly = budget;
+            read += budget;
+            break;
+        }
+        let mut span = read * self.plan.read_ms_per_token;
+        if !head.writers.is_empty() {
+            span += self.plan.pass_ms + 0.6 * head.writers.len() as f64;
+        }
+        head.pass = Some(Pass {
+            ends_at: now + span,
+            reads,
+            partly,
+        });
+    }
+
+    fn end_pass(&mut self, index: usize, pass: &Pass) {
+        let head = &mut self.heads[index];
+        let id = &self.targets[index].endpoint;
+        let now = pass.ends_at;
+        for writer in &mut head.writers {
+            let gap = writer.last_event_at.map_or(0.0, |at| now - at);
+            writer.has_paused |= gap > 300.0;
+            writer.last_event_at = Some(now);
+            writer.events_left -= 1;
+        }
+        for _ in 0..pass.reads {
+            let mut prompt = head.prompts.pop_front().expect("a prompt that was read");
+            prompt.last_event_at = Some(now);
+            prompt.events_left -= 1;
+            self.routers[prompt.router].answered(id, prompt.tokens);
+            self.outcome.slow_first += u32::from(now - prompt.sent_at > 300.0);
+            head.writers.push(prompt);
+        }
+        if let Some(first) = head.prompts.front_mut() {
+            first.unread -= pass.partly;
+        }
+        let outcome = &mut self.outcome;
+        let routers = &mut self.routers;
+        head.writers.retain(|writer| {
+            if writer.events_left > 0 {
+                return true;
+            }
+            outcome.paused += u32::from(writer.has_paused);
+            routers[writer.router].end(id, 0);
+            false
+        });
+        head.pass = None;
+    }
+
+    fn instant(&self) -> Instant {
+        self.start + Duration::from_millis(self.now_ms)
+    }
+}
+
+fn zone(index: usize) -> ZoneId {
+    format!("z{index}").into()
+}
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers that several test files share.
 #![allow(dead_code, missing_docs)]
 
+pub mod choice_sim;
 pub mod claim_sim;
 pub mod fleet_files;
 pub mod slot_sim;
