gateway: cold endpoints are shared by rank, the list of routers is watched apart

Cause: with 31 routers the share of 14 requests a second that a cold endpoint bears was rounded down to none, so groups that came back cold stood idle for 3 s. When leases ran out in an outage, all routers left the list at once, and each took the whole of the shared retries for its own.

Change: for each endpoint routers are ranked by a hash, the first ones get the rest (RouterRoll); a sliding window instead of a fixed one (ColdGate); routers that have left count for one window of retries, and nothing is spent from shares until the list has settled. One pace of the registry before and in traffic, 0.6 of the time in which leaving endpoints must get nothing more.

Ruled out: shares by zone only (two views of the list differ by zone in a cut).

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -13,8 +13,10 @@
 
 use jujuberoad::admission::FirstEventClock;
 use jujuberoad::admission::ReturnWatch;
+use jujuberoad::fleet::ColdGate;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::RouterRoll;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::RouterId;
@@ -55,7 +57,8 @@
     pub(crate) first_events: Mutex<FirstEventClock>,
     pub(crate) returns: Mutex<ReturnWatch>,
     pub(crate) allowance: Mutex<RetryAllowance>,
-    pub(crate) cold_sends: Mutex<HashMap<EndpointId, (Instant, u32)>>,
+    pub(crate) cold_gate: Mutex<ColdGate>,
+    pub(crate) roll: Mutex<RouterRoll>,
     pub(crate) lost: Mutex<HashMap<EndpointId, Instant>>,
     pub(crate) stalls: StallBoard,
     pub(crate) queue: SlotQueue,
@@ -74,11 +77,10 @@
 }
 
 impl GatewayCore {
-    /// Returns the number of routers that are known, this one included.
+    /// Returns the number of routers with which this one shares, itself included.
     pub(crate) fn router_count(&self) -> usize {
-        let peers = self.peer_addresses.lock().expect("peer lock");
-        let others = peers.keys().filter(|id| **id != self.settings.id);
-        1 + others.count()
+        let roll = self.roll.lock().expect("roll lock");
+        roll.count(Instant::now())
     }
 
     /// Marks an endpoint as one that does not answer.
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -14,6 +14,7 @@
 use futures_lite::StreamExt;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::RouterRoll;
 use jujuberoad_node::http::HttpHandler;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::http::HttpServer;
@@ -33,6 +34,7 @@
 use crate::gateway_error::GatewayError;
 use crate::gateway_parts::GatewayParts;
 use crate::gateway_settings::GatewaySettings;
+use crate::lock_sink::LockSink;
 use crate::metric_page::MetricPage;
 use crate::metric_page::MetricsApi;
 use crate::operator_sink::OperatorSink;
@@ -41,8 +43,8 @@
 use crate::readiness_api::ReadinessApi;
 use crate::registry_sink::RegistrySink;
 use crate::report_poll;
+use crate::router_sink::RouterSink;
 use crate::session_keeper;
-use crate::session_keeper::OwnSink;
 use crate::session_keeper::Session;
 use crate::silence_loop;
 use crate::slot_queue::SlotQueue;
@@ -167,6 +169,7 @@
         settings.retry_ratio,
         settings.retry_fixed,
     );
+    let roll = RouterRoll::new(settings.id.clone(), settings.retry_window_ms);
     let log = DecisionLog::new(settings.id.clone());
     Arc::new(GatewayCore {
         settings,
@@ -179,7 +182,8 @@
         first_events: Mutex::default(),
         returns: Mutex::default(),
         allowance: Mutex::new(allowance),
-        cold_sends: Mutex::default(),
+        cold_gate: Mutex::default(),
+        roll: Mutex::new(roll),
         lost: Mutex::default(),
         stalls: StallBoard::default(),
         queue: SlotQueue::default(),
@@ -204,7 +208,8 @@
     };
     store_watch::follow(Arc::clone(core), operator);
     store_watch::follow(Arc::clone(core), registry);
-    store_watch::follow(Arc::clone(core), OwnSink);
+    store_watch::follow(Arc::clone(core), LockSink);
+    store_watch::follow(Arc::clone(core), RouterSink);
     session_keeper::start(Arc::clone(core));
     placer_loop::start(Arc::clone(core));
     silence_loop::start(Arc::clone(core));
--- /dev/null
+++ b/gateway/src/lock_sink.rs
@@ -0,0 +1,52 @@
+//! Follows the placer's lock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujuberoad::ids::StoreVersion;
+use jujuberoad_node::backends::StoreEvent;
+use jujuberoad_node::backends::StoredItem;
+use jujuberoad_node::backends::StoredRange;
+
+use crate::gateway_core::GatewayCore;
+use crate::session_keeper::PLACER_KEY;
+use crate::store_watch::PrefixSink;
+
+/// Tells the session who holds the lock, as soon as the store does: until a standby
+/// takes a free lock, no group is mended.
+pub(crate) struct LockSink;
+
+impl LockSink {
+    fn take(&self, core: &GatewayCore, item: &StoredItem) {
+        let is_own = item.value == core.settings.id.as_bytes();
+        core.session.observe_lock(Some((item.version, is_own)));
+    }
+}
+
+impl PrefixSink for LockSink {
+    fn prefix(&self) -> String {
+        PLACER_KEY.to_owned()
+    }
+
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
+        match range.items.iter().find(|item| item.key == PLACER_KEY) {
+            Some(item) => self.take(core, item),
+            None => core.session.observe_lock(None),
+        }
+    }
+
+    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, _as_of: StoreVersion) {
+        for event in events {
+            match event {
+                StoreEvent::Written(item) => self.take(core, &item),
+                StoreEvent::Deleted { .. } => core.session.observe_lock(None),
+            }
+        }
+    }
+
+    fn note_contact(&self, _core: &GatewayCore, _is_lost: bool) {}
+
+    fn pace(&self, _core: &GatewayCore) -> Duration {
+        Duration::ZERO
+    }
+}
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -51,7 +51,10 @@
     runtime::spawn(Arc::clone(&core.peers).run(desk));
     runtime::spawn(async move {
         loop {
-            let peers = core.router_count() as u32;
+            let peers = {
+                let addresses = core.peer_addresses.lock().expect("peer lock");
+                addresses.len() as u32
+            };
             Timer::after(DIGEST_PACE + PACE_PER_PEER * peers).await;
             let loads = {
                 let mut loads = core.loads.lock().expect("load lock");
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -19,11 +19,10 @@
 use crate::store_watch::PrefixSink;
 
 /// Pause between two watches of the registry, as part of the time after which an
-/// endpoint that leaves must get nothing more. The registry changes dozens of times
-/// a second; news of groups come from the router that forms them.
-const REGISTRY_PACE_SHARE: f64 = 0.45;
-/// The same until callers come, when endpoints register one after the other.
-const START_PACE: Duration = Duration::from_millis(300);
+/// endpoint that leaves must get nothing more; a watch that fails has to be followed
+/// by a read in the rest. The registry changes dozens of times a second; news of
+/// groups come from the router that forms them.
+const REGISTRY_PACE_SHARE: f64 = 0.6;
 /// The same at the router that forms groups, which streams tell of most losses.
 const PLACER_PACE: Duration = Duration::from_millis(250);
 /// The same while groups are being formed, where each wait delays a repair.
@@ -132,10 +131,6 @@
         } else if core.is_placer.load(Ordering::Relaxed) {
             PLACER_PACE
         } else {
-            let has_traffic = core.has_traffic.load(Ordering::Relaxed);
-            if !has_traffic {
-                return START_PACE;
-            }
             let leaving = Duration::from_millis(core.settings.leaving_ms);
             leaving.mul_f64(REGISTRY_PACE_SHARE)
         }
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -1,7 +1,5 @@
 //! The lease of this process, its entry among the routers, and the placer's lock.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,15 +10,11 @@
 use jujuberoad::fleet::OrderRight;
 use jujuberoad::ids::Fence;
 use jujuberoad::ids::Milliseconds;
-use jujuberoad::ids::RouterId;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::backends::LeaseId;
 use jujuberoad_node::backends::StoreChange;
 use jujuberoad_node::backends::StoreError;
-use jujuberoad_node::backends::StoreEvent;
-use jujuberoad_node::backends::StoredItem;
-use jujuberoad_node::backends::StoredRange;
 use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
@@ -28,21 +22,15 @@
 
 use crate::boot_clock;
 use crate::gateway_core::GatewayCore;
-use crate::store_watch::PrefixSink;
 
-/// Prefix of all keys of the product.
-const OWN_PREFIX: &str = "jujuberoad/";
 /// Prefix of the routers' entries.
-const ROUTER_PREFIX: &str = "jujuberoad/routers/";
+pub(crate) const ROUTER_PREFIX: &str = "jujuberoad/routers/";
 /// Key of the placer's lock.
-const PLACER_KEY: &str = "jujuberoad/placer";
+pub(crate) const PLACER_KEY: &str = "jujuberoad/placer";
 /// Time to live of a lease: a standby takes over this long after a kill.
 const LEASE_MS: Milliseconds = 2_000;
 /// Pause between renewals; three fit in a lease.
 const RENEW_PACE: Duration = Duration::from_millis(600);
-/// Pause between two watches of the product's own keys: each router that comes or
-/// goes wakes all others.
-const OWN_PACE: Duration = Duration::from_millis(400);
 /// Times that a right is handed over, as datagrams are lost now and then.
 const HANDOVER_TRIES: u32 = 3;
 /// Time for one call to the store.
@@ -86,6 +74,29 @@
         self.lock().right.take_over(fence)
     }
 
+    /// Takes what the store shows of the lock: its version, and whether it names this
+    /// router; nothing where nobody holds it.
+    pub(crate) fn observe_lock(&self, held: Option<(StoreVersion, bool)>) {
+        let mut state = self.lock();
+        state.has_read = true;
+        state.is_lock_held = held.is_some();
+        // A write whose answer was lost shows here.
+        match held {
+            Some((version, true)) if state.lease.is_some() => {
+                if state.right.fence().is_none() {
+                    state.right.lock_won(version);
+                }
+            }
+            // Also a right that was handed over ends when the store shows a holder.
+            _ => state.right.lock_lost(),
+        }
+    }
+
+    /// Notes that the own entry in the list of routers is gone.
+    pub(crate) fn entry_lost(&self) {
+        self.lock().has_entry = false;
+    }
+
     fn lock(&self) -> MutexGuard<'_, SessionState> {
         self.state.lock().expect("session lock")
     }
@@ -247,92 +258,3 @@
         json!({"state": "failed", "reason": error.to_string(), "placer": had_right}),
     );
 }
-
-/// Follows the product's own keys: the routers and the placer's lock.
-pub(crate) struct OwnSink;
-
-impl OwnSink {
-    fn take(&self, core: &GatewayCore, item: &StoredItem) {
-        let text = String::from_utf8_lossy(&item.value).into_owned();
-        if item.key == PLACER_KEY {
-            let mut state = core.session.lock();
-            // A write whose answer was lost shows here.
-            let is_own = text == core.settings.id && state.lease.is_some();
-            if !is_own {
-                // Also a right that was handed over ends when the store shows a holder.
-                state.right.lock_lost();
-            } else if state.right.fence().is_none() {
-                state.right.lock_won(item.version);
-            }
-            state.is_lock_held = true;
-            return;
-        }
-        let Some(id) = item.key.strip_prefix(ROUTER_PREFIX) else {
-            return;
-        };
-        match text.parse::<SocketAddr>() {
-            Ok(address) => {
-                let mut peers = core.peer_addresses.lock().expect("peer lock");
-                peers.insert(RouterId::from(id), address);
-            }
-            Err(error) => core.log.write(
-                LogKind::Damaged,
-                json!({"what": item.key, "reason": error.to_string()}),
-            ),
-        }
-    }
-
-    fn forget(&self, core: &GatewayCore, key: &str) {
-        if key == PLACER_KEY {
-            let mut state = core.session.lock();
-            state.is_lock_held = false;
-            state.right.lock_lost();
-        }
-        if let Some(id) = key.strip_prefix(ROUTER_PREFIX) {
-            core.peer_addresses.lock().expect("peer lock").remove(id);
-            if id == core.settings.id {
-                core.session.lock().has_entry = false;
-            }
-        }
-    }
-}
-
-impl PrefixSink for OwnSink {
-    fn prefix(&self) -> String {
-        OWN_PREFIX.to_owned()
-    }
-
-    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
-        let keys: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
-        let known: BTreeMap<RouterId, SocketAddr> =
-            core.peer_addresses.lock().expect("peer lock").clone();
-        for id in known.keys() {
-            let key = format!("{ROUTER_PREFIX}{id}");
-            if !keys.contains(&key.as_str()) {
-                self.forget(core, &key);
-            }
-        }
-        if !keys.contains(&PLACER_KEY) {
-            self.forget(core, PLACER_KEY);
-        }
-        for item in &range.items {
-            self.take(core, item);
-        }
-        core.session.lock().has_read = true;
-    }
-
-    fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, _as_of: StoreVersion) {
-        for event in events {
-            match event {
-                StoreEvent::Written(item) => self.take(core, &item),
-                StoreEvent::Deleted { key, .. } => self.forget(core, &key),
-            }
-        }
-    }
-
-    fn note_contact(&self, _core: &GatewayCore, _is_lost: bool) {}
-
-    fn pace(&self, _core: &GatewayCore) -> Duration {
-        OWN_PACE
-    }
-}
--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -13,8 +13,6 @@
 use crate::call_deadline::by_deadline;
 use crate::gateway_core::GatewayCore;
 
-/// Window of the rate of a cold endpoint.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Pause after which a waiting request looks again without being woken, so that
 /// news of peers count.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
@@ -154,22 +152,18 @@
     if !is_cold || target.cold_per_second <= 0.0 {
         return true;
     }
-    let share = (target.cold_per_second / core.router_count() as f64).floor();
-    let sends = core.cold_sends.lock().expect("cold lock");
-    match sends.get(&target.endpoint) {
-        Some((ends, count)) if now < *ends => f64::from(*count) < share,
-        _ => share >= 1.0,
-    }
+    let share = {
+        let roll = core.roll.lock().expect("roll lock");
+        roll.share_of(&target.endpoint, target.cold_per_second, now)
+    };
+    let gate = core.cold_gate.lock().expect("cold lock");
+    gate.has_room(&target.endpoint, share, now)
 }
 
 fn note_cold_send(core: &GatewayCore, target: &ServingTarget, now: Instant) {
     if target.cold_until.is_none_or(|until| now >= until) {
         return;
     }
-    let mut sends = core.cold_sends.lock().expect("cold lock");
-    sends.retain(|_, (ends, _)| now < *ends);
-    let entry = sends
-        .entry(target.endpoint.clone())
-        .or_insert((now + COLD_WINDOW, 0));
-    entry.1 += 1;
+    let mut gate = core.cold_gate.lock().expect("cold lock");
+    gate.note_send(&target.endpoint, now);
 }
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! that follow from it, a [`ReplicaPlanner`] the orders by which groups are
 //! formed and repaired. [`StallWatch`] notices a group that has fallen silent.
 
+mod cold_gate;
 mod endpoint_record;
 mod endpoint_state;
 mod endpoint_table;
@@ -21,11 +22,13 @@
 mod replica_order;
 mod replica_planner;
 mod retry_allowance;
+mod router_roll;
 mod serving_target;
 mod stall_watch;
 mod target_picker;
 mod target_table;
 
+pub use cold_gate::ColdGate;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
@@ -45,6 +48,7 @@
 pub use replica_order::ReplicaOrder;
 pub use replica_planner::ReplicaPlanner;
 pub use retry_allowance::RetryAllowance;
+pub use router_roll::RouterRoll;
 pub use serving_target::ServingTarget;
 pub use stall_watch::StallWatch;
 pub use target_picker::TargetPicker;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use insta::assert_snapshot;
+use jujuberoad::fleet::ColdGate;
 use jujuberoad::fleet::EndpointLoad;
 use jujuberoad::fleet::EndpointRecord;
 use jujuberoad::fleet::EndpointState;
@@ -20,10 +21,12 @@
 use jujuberoad::fleet::OrderRight;
 use jujuberoad::fleet::PoolKey;
 use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::RouterRoll;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::fleet::StallWatch;
 use jujuberoad::fleet::TargetPicker;
 use jujuberoad::fleet::TargetTable;
+use jujuberoad::ids::RouterId;
 use jujuberoad::serving::EngineProfile;
 use jujuberoad::serving::ServiceProfile;
 use jujuberoad::serving::ServingConfig;
@@ -348,3 +351,81 @@
     assert_eq!(heir.current(at(9_000)), None);
     assert!(!heir.take_over(7));
 }
+
+fn rolls(count: usize, now: Instant) -> Vec<RouterRoll> {
+    let ids: Vec<RouterId> = (0..count).map(|index| format!("r{index}").into()).collect();
+    let roll = |own: &RouterId| {
+        let mut roll = RouterRoll::new(own.clone(), 10_000);
+        ids.iter().for_each(|id| roll.observe(id));
+        roll.list_read(now);
+        roll
+    };
+    ids.iter().map(roll).collect()
+}
+
+/// The pattern: a zone comes back cold before more routers than requests a second that
+/// an endpoint bears. Shares that are rounded down leave it idle while it is cold.
+#[test]
+fn a_cold_endpoint_gets_the_rate_that_it_bears_from_all_routers_together() {
+    let now = Instant::now();
+    let settled = now + Duration::from_secs(2);
+    for (count, rate) in [(1, 14.0), (5, 14.0), (31, 14.0), (380, 14.0), (31, 0.0)] {
+        let rolls = rolls(count, now);
+        for endpoint in ["e1", "e2", "e3"] {
+            let shares = rolls
+                .iter()
+                .map(|roll| roll.share_of(endpoint, rate, settled));
+            assert_eq!(shares.sum::<u32>(), rate as u32, "{count} routers");
+        }
+    }
+    // Different routers serve different endpoints.
+    let rolls = rolls(31, now);
+    let serving = |endpoint: &str| -> Vec<u32> {
+        let shares = rolls.iter();
+        shares
+            .map(|roll| roll.share_of(endpoint, 14.0, settled))
+            .collect()
+    };
+    assert_ne!(serving("e1"), serving("e2"));
+}
+
+/// All entries lapse at once when leases run out during an outage of the store; what
+/// routers may spend together must not grow by that.
+#[test]
+fn routers_that_leave_the_list_count_for_a_window() {
+    let now = Instant::now();
+    let mut roll = rolls(31, now).remove(0);
+    assert_eq!(roll.share_of("e1", 1_000.0, now), 0);
+    assert!(roll.count(now) > 31);
+    let lapsed = now + Duration::from_secs(5);
+    assert_eq!(roll.count(lapsed), 31);
+    for index in 0..31 {
+        roll.forget(&format!("r{index}"), lapsed);
+    }
+    assert_eq!(roll.count(lapsed + Duration::from_secs(9)), 31);
+    assert_eq!(roll.count(lapsed + Duration::from_secs(11)), 1);
+}
+
+#[test]
+fn requests_to_a_cold_endpoint_keep_its_rate_in_any_second() {
+    for_seeds(100, 400, |u| {
+        let mut gate = ColdGate::default();
+        let start = Instant::now();
+        let mut now = start;
+        let mut sends = Vec::new();
+        for _ in 0..200 {
+            now += Duration::from_millis(draw(u, 1, 60)?);
+            if gate.has_room(&"e1".into(), 3, now) {
+                gate.note_send(&"e1".into(), now);
+                sends.push(now);
+            }
+        }
+        for (index, first) in sends.iter().enumerate() {
+            let inside = sends[index..]
+                .iter()
+                .filter(|at| **at < *first + Duration::from_secs(1));
+            assert!(inside.count() <= 3);
+        }
+        Ok(())
+    });
+}
