fleet: slow members are replaced, groups that broke up are avoided as groups

A member found in another group after a repair was marked as lost for 4.5 s, so a group that was back after 0.4 s stood idle at routers that had streams in the old one.

Ruled out: cutting the streams of slow groups off (a resume needs the retry budget; without it the stream would be lost instead of late).

Change: the report's pace is read; a member at twice the usual time or more is taken as one to be replaced for 3 s, as long as less than a quarter of all endpoints is; it is asked again before it joins. A group whose members have moved on is avoided by its key. Pauses between probes that find nothing double up to 2 s.

Tests: test_fleet, two new.

--- a/gateway/src/belief_board.rs
+++ b/gateway/src/belief_board.rs
@@ -131,6 +131,11 @@
         state.table.set_registry_lost(is_lost);
     }
 
+    /// Returns the number of endpoints in the registry.
+    pub(crate) fn endpoint_count(&self) -> usize {
+        self.state.lock().expect("belief lock").table.len()
+    }
+
     /// Returns an endpoint.
     pub(crate) fn endpoint(&self, id: &EndpointId) -> Option<EndpointRecord> {
         self.state
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -14,6 +14,7 @@
 use jujuberoad::admission::FirstEventClock;
 use jujuberoad::admission::ReturnWatch;
 use jujuberoad::fleet::ColdGate;
+use jujuberoad::fleet::GroupKey;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::RetryAllowance;
 use jujuberoad::fleet::RouterRoll;
@@ -42,6 +43,13 @@
 /// Time for which an endpoint that was the wrong one to ask is left alone, unless
 /// the registry shows a change before; a watch of the registry takes as long.
 const MISDIRECTED_FOR: Duration = Duration::from_millis(1_000);
+/// Time for which a slow endpoint is given no work and joins no group; it is asked
+/// again after that, and days of slow hosts last some seconds.
+const SLOW_FOR: Duration = Duration::from_millis(3_000);
+/// Part of all endpoints that may count as slow: with more of them it is the load.
+const SLOW_SHARE: f64 = 0.25;
+/// Time for which a group that has broken up is avoided; the registry shows it before.
+const GROUP_GONE_FOR: Duration = Duration::from_millis(4_500);
 /// Time for the report of such an endpoint.
 const REPORT_LIMIT: Duration = Duration::from_millis(200);
 
@@ -60,6 +68,8 @@
     pub(crate) cold_gate: Mutex<ColdGate>,
     pub(crate) roll: Mutex<RouterRoll>,
     pub(crate) lost: Mutex<HashMap<EndpointId, Instant>>,
+    pub(crate) slow: Mutex<HashMap<EndpointId, Instant>>,
+    pub(crate) groups_gone: Mutex<HashMap<GroupKey, Instant>>,
     pub(crate) stalls: StallBoard,
     pub(crate) queue: SlotQueue,
     pub(crate) session: Session,
@@ -127,20 +137,62 @@
         self.lost.lock().expect("lost lock").remove(endpoint);
     }
 
-    /// Tells whether a member of a target does not answer.
-    pub(crate) fn has_lost_member(&self, target: &ServingTarget) -> bool {
+    /// Marks an endpoint as slow; tells whether it was, as only a few may be.
+    pub(crate) fn mark_slow(&self, endpoint: &EndpointId) -> bool {
+        let now = Instant::now();
+        let limit = self.board.endpoint_count() as f64 * SLOW_SHARE;
+        let mut slow = self.slow.lock().expect("slow lock");
+        slow.retain(|_, until| now < *until);
+        if slow.len() as f64 >= limit && !slow.contains_key(endpoint) {
+            return false;
+        }
+        slow.insert(endpoint.clone(), now + SLOW_FOR);
+        true
+    }
+
+    /// Avoids the group of a target, whose members have moved on.
+    pub(crate) fn avoid_group(&self, target: &ServingTarget) {
+        if let Some(group) = &target.group {
+            self.avoid_group_for(group, GROUP_GONE_FOR);
+        }
+    }
+
+    /// Avoids a group for `span`.
+    pub(crate) fn avoid_group_for(&self, group: &GroupKey, span: Duration) {
+        let now = Instant::now();
+        let mut gone = self.groups_gone.lock().expect("group lock");
+        gone.retain(|_, until| now < *until);
+        gone.insert(group.clone(), now + span);
+    }
+
+    /// Tells whether the group of a target has broken up.
+    pub(crate) fn is_group_gone(&self, target: &ServingTarget, now: Instant) -> bool {
+        let Some(group) = &target.group else {
+            return false;
+        };
+        let gone = self.groups_gone.lock().expect("group lock");
+        gone.get(group).is_some_and(|until| now < *until)
+    }
+
+    /// Tells whether a target is known not to work.
+    pub(crate) fn is_given_up(&self, target: &ServingTarget) -> bool {
         let now = Instant::now();
         let lost = self.lost.lock().expect("lost lock");
         let mut ids = target.members.iter().map(|(id, _)| id);
         ids.any(|id| lost.get(id).is_some_and(|until| now < *until))
+            || self.is_group_gone(target, now)
     }
 
-    /// Returns the endpoints that do not answer.
+    /// Returns the endpoints that do not answer, or are too slow to be of use.
     pub(crate) fn lost_endpoints(&self) -> BTreeSet<EndpointId> {
         let now = Instant::now();
-        let mut lost = self.lost.lock().expect("lost lock");
-        lost.retain(|_, until| now < *until);
-        lost.keys().cloned().collect()
+        let mut found = BTreeSet::new();
+        for endpoints in [&self.lost, &self.slow] {
+            let mut endpoints = endpoints.lock().expect("lost lock");
+            endpoints.retain(|_, until| now < *until);
+            found.extend(endpoints.keys().cloned());
+        }
+        found
     }
 
     /// Takes one retry from the share of this router.
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -185,6 +185,8 @@
         cold_gate: Mutex::default(),
         roll: Mutex::new(roll),
         lost: Mutex::default(),
+        slow: Mutex::default(),
+        groups_gone: Mutex::default(),
         stalls: StallBoard::default(),
         queue: SlotQueue::default(),
         session: Session::default(),
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use jujuberoad::fleet::EngineReport;
+use jujuberoad::fleet::GroupKey;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::Fence;
 use jujuberoad::ids::RouterId;
@@ -120,7 +121,7 @@
 impl PeerDesk {
     /// Looks for itself where it has streams or forms groups; else a peer's word is
     /// enough to send nothing there for a while.
-    fn take_silence(&self, endpoint: &EndpointId, lost: &EndpointId) {
+    fn take_silence(&self, endpoint: &EndpointId, group: &GroupKey, lost: Option<&EndpointId>) {
         let core = &self.core;
         let target = if core.stalls.has_streams(endpoint) {
             core.stalls.hurry_probe(endpoint)
@@ -129,7 +130,10 @@
             let mut targets = view.targets.iter();
             targets.find(|target| target.endpoint == *endpoint).cloned()
         } else {
-            core.mark_lost_for(lost, PEER_WORD_VALID);
+            core.avoid_group_for(group, PEER_WORD_VALID);
+            if let Some(lost) = lost {
+                core.mark_lost_for(lost, PEER_WORD_VALID);
+            }
             None
         };
         let Some(target) = target else {
@@ -180,7 +184,11 @@
                 self.take_observed(as_of, reports);
             }
             PeerMessage::Handover { fence } => self.take_over(fence, &frame.sender),
-            PeerMessage::Silent { endpoint, lost, .. } => self.take_silence(&endpoint, &lost),
+            PeerMessage::Silent {
+                endpoint,
+                group,
+                lost,
+            } => self.take_silence(&endpoint, &group, lost.as_ref()),
             _ => {}
         }
     }
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -149,7 +149,11 @@
         core.metrics.probes.inc();
         let report = core.parts.control.probe(order.address, deadline).await?;
         expected_sequence = order.expected_sequence(&report);
+        let is_slow = report.is_slow();
         core.board.apply_report(&order.endpoint, report);
+        if is_slow && core.mark_slow(&order.endpoint) {
+            return Ok(OrderAnswer::Conflict);
+        }
         if expected_sequence.is_none() {
             return Ok(OrderAnswer::Conflict);
         }
--- a/gateway/src/silence_loop.rs
+++ b/gateway/src/silence_loop.rs
@@ -1,4 +1,4 @@
-//! Probes groups that have fallen silent, and gives up those that do not answer.
+//! Probes groups that have fallen silent, and gives up those that do not work.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use jujuberoad::fleet::GroupKey;
+use jujuberoad::fleet::MemberFault;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::peer::PeerMessage;
@@ -46,48 +47,78 @@
     });
 }
 
-/// Probes all members of a group and gives it up if one does not answer.
+/// Probes all members of a group and gives it up if one does not do its part.
 ///
 /// A group that is known to be lost is not probed again, and only the router that
 /// finds it lost by its own streams tells the others.
 pub(crate) async fn examine(core: &GatewayCore, target: ServingTarget, cause: ProbeCause) {
-    if core.has_lost_member(&target) {
+    if core.is_given_up(&target) {
         core.stalls.give_up(&target.endpoint);
         return;
     }
-    let lost = find_lost_member(core, &target).await;
-    let Some((member, reason)) = lost else {
+    let Some((member, fault)) = find_fault(core, &target).await else {
         core.stalls.clear(&target.endpoint);
         core.queue.wake_first();
         log_verdict(core, &target, cause, "cleared", None);
         return;
     };
-    core.mark_lost(&member);
+    let mut streams = 0;
+    match &fault {
+        MemberFault::Silent { .. } => {
+            core.mark_lost(&member);
+            streams = core.stalls.give_up(&target.endpoint);
+        }
+        MemberFault::Moved { .. } => {
+            core.avoid_group(&target);
+            streams = core.stalls.give_up(&target.endpoint);
+        }
+        // Its streams are late but move; the router that forms groups replaces it.
+        MemberFault::Slow { .. } => {
+            core.stalls.clear(&target.endpoint);
+            if !core.mark_slow(&member) {
+                log_verdict(core, &target, cause, "too many are slow", None);
+                return;
+            }
+        }
+    }
     core.metrics.stalls.inc();
-    let streams = core.stalls.give_up(&target.endpoint);
+    let verdict = fault.to_string();
     log_verdict(
         core,
         &target,
         cause,
         "lost",
-        Some((&member, &reason, streams)),
+        Some((&member, &verdict, streams)),
     );
-    if let Some(group) = target.group
-        && cause == ProbeCause::Silence
-    {
-        let message = PeerMessage::Silent {
-            endpoint: target.endpoint,
-            group,
-            lost: member,
-        };
-        peer_exchange::tell_all(core, message).await;
+    if cause == ProbeCause::Silence {
+        tell_peers(core, target, member, &fault).await;
     }
 }
 
-async fn find_lost_member(
+async fn tell_peers(
+    core: &GatewayCore,
+    target: ServingTarget,
+    member: EndpointId,
+    fault: &MemberFault,
+) {
+    let Some(group) = target.group else {
+        return;
+    };
+    let has_moved = matches!(fault, MemberFault::Moved { .. });
+    let message = PeerMessage::Silent {
+        endpoint: target.endpoint,
+        group,
+        lost: (!has_moved).then_some(member),
+    };
+    peer_exchange::tell_all(core, message).await;
+}
+
+/// Returns the first member that does not do its part; one that is only slow after
+/// all others.
+async fn find_fault(
     core: &GatewayCore,
     target: &ServingTarget,
-) -> Option<(EndpointId, String)> {
+) -> Option<(EndpointId, MemberFault)> {
     let deadline = Instant::now() + PROBE_LIMIT;
     let (sender, results) = smol::channel::unbounded();
     for (id, address) in target.members.clone() {
@@ -96,17 +127,25 @@
         let group = target.group.clone();
         let sender = sender.clone();
         runtime::spawn(async move {
-            let verdict = probe_member(control.as_ref(), address, &group, deadline).await;
+            let fault = probe_member(control.as_ref(), address, &group, deadline).await;
             // The receiver waits for all members.
-            let _ = sender.send(verdict.map(|reason| (id, reason))).await;
+            let _ = sender.send(fault.map(|fault| (id, fault))).await;
         });
     }
     drop(sender);
-    let mut lost = None;
-    while let Ok(verdict) = results.recv().await {
-        lost = lost.or(verdict);
+    let mut found: Option<(EndpointId, MemberFault)> = None;
+    while let Ok(result) = results.recv().await {
+        let Some((id, fault)) = result else {
+            continue;
+        };
+        if found
+            .as_ref()
+            .is_none_or(|(_, known)| fault.rank() < known.rank())
+        {
+            found = Some((id, fault));
+        }
     }
-    lost
+    found
 }
 
 /// Returns why a member does not do its part; nothing when it does.
@@ -115,16 +154,12 @@
     address: SocketAddr,
     group: &Option<GroupKey>,
     deadline: Instant,
-) -> Option<String> {
+) -> Option<MemberFault> {
     match control.probe(address, deadline).await {
-        Ok(report) => {
-            let key = report.membership.map(|membership| membership.key);
-            let found = key
-                .as_ref()
-                .map_or("no group".to_owned(), ToString::to_string);
-            (key != *group).then(|| format!("it is in {found}"))
-        }
-        Err(error) => Some(error.to_string()),
+        Ok(report) => MemberFault::of_report(&report, group.as_ref()),
+        Err(error) => Some(MemberFault::Silent {
+            reason: error.to_string(),
+        }),
     }
 }
 
--- a/gateway/src/stall_board.rs
+++ b/gateway/src/stall_board.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jujuberoad::fleet::ProbePace;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::fleet::StallWatch;
 use jujuberoad::ids::EndpointId;
@@ -14,8 +15,6 @@
 
 /// Time within which events of other streams show that a group works.
 const PROGRESS_SPAN: Duration = Duration::from_millis(220);
-/// Pause between two probes of the same head.
-const PROBE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Number of a stream.
 pub(crate) type StreamNumber = u64;
@@ -36,7 +35,7 @@
     target: ServingTarget,
     watch: StallWatch,
     streams: HashMap<StreamNumber, StreamState>,
-    next_probe_at: Instant,
+    probes: ProbePace,
     is_suspect: bool,
 }
 
@@ -52,7 +51,7 @@
     pub(crate) fn enter(
         &self,
         target: &ServingTarget,
-        missing_after: Duration,
+        first_event_limit: Duration,
     ) -> (StreamNumber, Receiver<()>) {
         let now = Instant::now();
         let (sender, receiver) = channel::bounded(1);
@@ -66,12 +65,12 @@
                 target: target.clone(),
                 watch: StallWatch::new(now),
                 streams: HashMap::new(),
-                next_probe_at: now,
+                probes: ProbePace::new(now),
                 is_suspect: false,
             });
         head.target = target.clone();
         let stream = StreamState {
-            missing_at: now + missing_after,
+            missing_at: now + first_event_limit,
             has_started: false,
             sender,
         };
@@ -118,7 +117,7 @@
         let mut due = Vec::new();
         let mut state = self.state.lock().expect("stall lock");
         for head in state.heads.values_mut() {
-            if now < head.next_probe_at {
+            if !head.probes.is_due(now) {
                 continue;
             }
             let waiting = head.streams.values().filter(|stream| !stream.has_started);
@@ -131,7 +130,7 @@
             if !is_silent && !is_late {
                 continue;
             }
-            head.next_probe_at = now + PROBE_PAUSE;
+            head.probes.note_probe(now);
             head.is_suspect = true;
             due.push(head.target.clone());
         }
@@ -145,10 +144,10 @@
         let mut state = self.state.lock().expect("stall lock");
         let head = state.heads.get_mut(endpoint)?;
         let is_moving = now < head.watch.last_event() + Duration::from_millis(60);
-        if is_moving || now < head.next_probe_at {
+        if is_moving || !head.probes.is_due(now) {
             return None;
         }
-        head.next_probe_at = now + PROBE_PAUSE;
+        head.probes.note_probe(now);
         Some(head.target.clone())
     }
 
--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -107,6 +107,7 @@
             need.tried.contains(&target.endpoint)
                 || lost.contains(&target.endpoint)
                 || target.members.iter().any(|(id, _)| lost.contains(id))
+                || core.is_group_gone(target, now)
                 || core.stalls.is_suspect(&target.endpoint)
                 || !has_cold_room(core, target, now)
         };
--- a/lib/src/fleet/endpoint_record.rs
+++ b/lib/src/fleet/endpoint_record.rs
@@ -56,14 +56,15 @@
         self.staged.iter().any(|staged| staged == model)
     }
 
-    /// Returns what it would report of itself; the count of orders is not known.
+    /// Returns what it would report of itself; the count of orders and its
+    /// pace are not known.
     pub fn report(&self) -> EngineReport {
         EngineReport {
             incarnation: self.incarnation,
             membership: self.membership.clone(),
             model: self.model.clone(),
             staged: self.staged.clone(),
-            sequence: 0,
+            ..EngineReport::default()
         }
     }
 
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -93,14 +93,14 @@
         /// Fence under which the receiver goes on.
         fence: Fence,
     },
-    /// Tells that a head has fallen silent and does not answer a probe.
+    /// Tells that a group does not work any more.
     Silent {
         /// The head.
         endpoint: EndpointId,
         /// Its group.
         group: GroupKey,
-        /// Member that did not answer.
-        lost: EndpointId,
+        /// Member that does not do its part; nothing where all have moved on.
+        lost: Option<EndpointId>,
     },
 }
 
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -17,9 +17,11 @@
 use jujuberoad::fleet::GroupKey;
 use jujuberoad::fleet::GroupMembership;
 use jujuberoad::fleet::LoadTable;
+use jujuberoad::fleet::MemberFault;
 use jujuberoad::fleet::MemberState;
 use jujuberoad::fleet::OrderRight;
 use jujuberoad::fleet::PoolKey;
+use jujuberoad::fleet::ProbePace;
 use jujuberoad::fleet::RetryAllowance;
 use jujuberoad::fleet::RouterRoll;
 use jujuberoad::fleet::ServingTarget;
@@ -429,3 +431,45 @@
         Ok(())
     });
 }
+
+/// The pattern: one host of a wide group turns slow, and with it the whole group. It
+/// answers each probe, so only what it says of itself tells it from the others.
+#[test]
+fn a_slow_member_is_told_from_one_that_works_and_one_that_moved_on() {
+    let group = key("g");
+    let report = |joined: &str, pace_percent: u32| EngineReport {
+        membership: Some(GroupMembership {
+            key: key(joined),
+            rank: 1,
+            state: MemberState::Ready,
+        }),
+        pace_percent,
+        ..EngineReport::default()
+    };
+    let judge = |report: &EngineReport| MemberFault::of_report(report, Some(&group));
+    assert_eq!(judge(&report("g", 130)), None);
+    let slow = judge(&report("g", 400)).expect("a fault");
+    let moved = judge(&report("h", 400)).expect("a fault");
+    let alone = judge(&EngineReport::default()).expect("a fault");
+    assert_snapshot!(format!("{slow}; {moved}; {alone}"), @"it takes 400% of its time; it is in h@1; it is in no group");
+    assert!(moved.rank() < slow.rank());
+}
+
+#[test]
+fn probes_that_find_nothing_become_rare() {
+    let start = Instant::now();
+    let mut pace = ProbePace::new(start);
+    let mut probes = Vec::new();
+    for ms in (0..10_000).step_by(20) {
+        let now = start + Duration::from_millis(ms);
+        if pace.is_due(now) {
+            pace.note_probe(now);
+            probes.push(ms.to_string());
+        }
+    }
+    assert_snapshot!(probes.join(" "), @"0 260 760 1760 3760 5760 7760 9760");
+    // After a while without any, the next ones follow soon again.
+    let later = start + Duration::from_secs(20);
+    pace.note_probe(later);
+    assert!(pace.is_due(later + Duration::from_millis(250)));
+}
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -435,6 +435,7 @@
                 model: vm.shown_model(),
                 staged: vm.staged.clone(),
                 sequence: vm.sequence,
+                ..EngineReport::default()
             };
             reports.insert(id.clone(), report);
         }
@@ -488,7 +489,7 @@
                 membership: None,
                 model: None,
                 staged: vm.staged.clone(),
-                sequence: 0,
+                ..EngineReport::default()
             });
         let mut expected = None;
         if order.needs_report() {
