fleet: groups outlive entries that are not back yet; one call looks for the store

Routers that start then read the registry again only 1.8 s later.

Ruled out: the gate being late (the store is back for all within 0.5 s; the fresh processes read at once).

Change: a process that starts in traffic does not know what had lapsed, so for 2.5 s a group with missing members is left alone, and an open one of which more than half are there takes requests. In that time the registry is watched each 0.3 s. While the store is away one call at a time looks whether it is back (CallGate): five tasks of each router went on asking, and calls that are turned away are billed.

Tests: test_replica_planner groups_outlive..., test_fleet open_groups..., test_call_gate.

--- a/gateway/src/belief_board.rs
+++ b/gateway/src/belief_board.rs
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Takes endpoints without an entry for gone, once the registry has settled.
+    pub(crate) fn settle(&self, now: Instant) {
+        let mut state = self.state.lock().expect("belief lock");
+        if state.table.expire(now) {
+            state.derive();
+        }
+    }
+
     /// Takes what an engine said when it was asked; tells whether that is news.
     pub(crate) fn apply_report(&self, id: &EndpointId, report: EngineReport) -> bool {
         let mut state = self.state.lock().expect("belief lock");
@@ -152,7 +160,7 @@
         let Some(config) = self.view.config.clone() else {
             return;
         };
-        let groups = GroupIndex::collect(&self.table, &config);
+        let groups = GroupIndex::collect(&self.table, &config, Instant::now());
         let evacuated: BTreeSet<ZoneId> = self.evacuated.keys().cloned().collect();
         let targets = TargetTable::collect(&self.table, &groups, &config, &evacuated);
         self.view.groups = Arc::new(groups);
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jujuberoad::admission::CallGate;
 use jujuberoad::admission::FirstEventClock;
 use jujuberoad::admission::ReturnWatch;
 use jujuberoad::fleet::ColdGate;
@@ -21,6 +22,7 @@
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::RouterId;
+use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
 use jujuberoad_node::runtime;
@@ -67,6 +69,7 @@
     pub(crate) allowance: Mutex<RetryAllowance>,
     pub(crate) cold_gate: Mutex<ColdGate>,
     pub(crate) roll: Mutex<RouterRoll>,
+    pub(crate) store_gate: Mutex<CallGate>,
     pub(crate) lost: Mutex<HashMap<EndpointId, Instant>>,
     pub(crate) slow: Mutex<HashMap<EndpointId, Instant>>,
     pub(crate) groups_gone: Mutex<HashMap<GroupKey, Instant>>,
@@ -204,6 +207,23 @@
         allowance.try_take(routers, Instant::now())
     }
 
+    /// Returns nothing where the store may be called now, else when to ask again.
+    pub(crate) fn try_store_gate(&self) -> Option<Instant> {
+        let mut gate = self.store_gate.lock().expect("gate lock");
+        gate.try_pass(Instant::now())
+    }
+
+    /// Notes whether the store has answered a call.
+    pub(crate) fn note_store_answer<T>(&self, result: &Result<T, StoreError>) {
+        let mut gate = self.store_gate.lock().expect("gate lock");
+        match result {
+            Err(error) if error.is_outage() => {
+                gate.note_failure(Instant::now(), fastrand::f64());
+            }
+            _ => gate.note_answer(),
+        }
+    }
+
     /// Tells whether the process is about to end.
     pub(crate) fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -184,6 +184,7 @@
         allowance: Mutex::new(allowance),
         cold_gate: Mutex::default(),
         roll: Mutex::new(roll),
+        store_gate: Mutex::default(),
         lost: Mutex::default(),
         slow: Mutex::default(),
         groups_gone: Mutex::default(),
@@ -205,9 +206,7 @@
     let operator = OperatorSink {
         prefix: dialect.operator_prefix().to_owned(),
     };
-    let registry = RegistrySink {
-        prefix: dialect.registry_prefix().to_owned(),
-    };
+    let registry = RegistrySink::new(dialect.registry_prefix().to_owned());
     store_watch::follow(Arc::clone(core), operator);
     store_watch::follow(Arc::clone(core), registry);
     store_watch::follow(Arc::clone(core), LockSink);
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -1,6 +1,7 @@
 //! Follows the registry of endpoints.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,8 +12,10 @@
 use jujuberoad_node::backends::StoreEvent;
 use jujuberoad_node::backends::StoredItem;
 use jujuberoad_node::backends::StoredRange;
+use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
+use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
 use crate::peer_exchange;
@@ -25,6 +28,11 @@
 const REGISTRY_PACE_SHARE: f64 = 0.6;
 /// The same at the router that forms groups, which streams tell of most losses.
 const PLACER_PACE: Duration = Duration::from_millis(250);
+/// The same until the registry has settled after a full read in traffic: entries of
+/// endpoints that live may have lapsed in an outage and come back one after the other.
+const SETTLE_PACE: Duration = Duration::from_millis(300);
+/// Time for which it may not have settled; entries are back within about two seconds.
+const SETTLE_SPAN: Duration = Duration::from_millis(2_500);
 /// The same while groups are being formed, where each wait delays a repair.
 const MENDING_PACE: Duration = Duration::from_millis(60);
 /// Time after an outage for which entries that a full read lacks are kept:
@@ -33,10 +41,28 @@
 
 /// Follows the registry of endpoints.
 pub(crate) struct RegistrySink {
-    pub(crate) prefix: String,
+    prefix: String,
+    settles_at: Mutex<Option<Instant>>,
 }
 
 impl RegistrySink {
+    /// Follows the entries below `prefix`.
+    pub(crate) fn new(prefix: String) -> Self {
+        Self {
+            prefix,
+            settles_at: Mutex::new(None),
+        }
+    }
+
+    fn is_settled(&self, core: &GatewayCore) -> bool {
+        // Before any traffic there is time, and nothing has lapsed.
+        if core.settings.is_first_start && !core.has_traffic.load(Ordering::Relaxed) {
+            return true;
+        }
+        let settles_at = self.settles_at.lock().expect("settle lock");
+        settles_at.is_none_or(|at| Instant::now() >= at)
+    }
+
     fn decode(&self, core: &GatewayCore, item: &StoredItem) -> Option<EndpointRecord> {
         let id: EndpointId = core.parts.dialect.endpoint_of_key(&item.key)?;
         match core
@@ -63,16 +89,28 @@
 
     fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, after_outage: bool) {
         let now = Instant::now();
+        *self.settles_at.lock().expect("settle lock") = Some(now + SETTLE_SPAN);
         let mut records = Vec::new();
         for item in &range.items {
             records.extend(self.decode(core, item));
         }
         let keep_until = after_outage.then(|| now + ENTRY_GRACE);
         let count = records.len();
+        let is_unsettled = !self.is_settled(core);
         core.board.change_registry(range.as_of, now, |table| {
+            if is_unsettled && table.is_empty() {
+                table.settle_at(now + SETTLE_SPAN);
+            }
             table.replace_all(records, keep_until);
             true
         });
+        if is_unsettled {
+            let core = Arc::clone(core);
+            runtime::spawn(async move {
+                Timer::after(SETTLE_SPAN).await;
+                core.board.settle(Instant::now());
+            });
+        }
         core.log.write(
             LogKind::Endpoint,
             json!({"read": count, "version": range.as_of, "after_outage": after_outage}),
@@ -130,6 +168,8 @@
             MENDING_PACE
         } else if core.is_placer.load(Ordering::Relaxed) {
             PLACER_PACE
+        } else if !self.is_settled(core) {
+            SETTLE_PACE
         } else {
             let leaving = Duration::from_millis(core.settings.leaving_ms);
             leaving.mul_f64(REGISTRY_PACE_SHARE)
--- a/gateway/src/session_keeper.rs
+++ b/gateway/src/session_keeper.rs
@@ -109,7 +109,11 @@
             if core.is_stopping() {
                 return;
             }
+            while let Some(again_at) = core.try_store_gate() {
+                Timer::at(again_at).await;
+            }
             let result = keep_once(&core).await;
+            core.note_store_answer(&result);
             if let Err(error) = &result {
                 core.metrics.note_call("lease", "failed");
                 core.session.lock().right.store_failed();
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -25,11 +25,10 @@
 const WATCH_MS: Milliseconds = 10_000;
 /// Time for a full read; a slow store answers within some hundred milliseconds.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
-/// First and longest pause after a failed call: calls that the store turns away are
-/// billed too, and configurations are to be in force two seconds after it is back.
-const RETRY_PACE: (Duration, Duration) = (Duration::from_millis(120), Duration::from_millis(800));
-/// Failures in a row after which the store counts as lost.
+/// Failures in a row after which a prefix counts as lost, where others are answered.
 const LOST_AFTER: u32 = 2;
+/// Pause before the call after a failed one while the store answers others.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
 /// What a watched prefix is about.
 pub(crate) trait PrefixSink: Send + Sync + 'static {
@@ -49,47 +48,67 @@
     fn pace(&self, core: &GatewayCore) -> Duration;
 }
 
+/// How the calls for one prefix have gone.
+#[derive(Default)]
+struct PrefixContact {
+    failures: u32,
+    is_lost: bool,
+    reason: String,
+}
+
 /// Follows a prefix for ever.
 pub(crate) fn follow(core: Arc<GatewayCore>, sink: impl PrefixSink) {
     runtime::spawn(async move {
-        let mut failures = 0;
+        let mut contact = PrefixContact::default();
         loop {
-            let error = match follow_once(&core, &sink, &mut failures).await {
+            wait_for_store(&core, &sink, &mut contact).await;
+            let error = match follow_once(&core, &sink, &mut contact).await {
                 Ok(never) => match never {},
                 Err(error) => error,
             };
-            let prefix = sink.prefix();
             if let StoreError::HistoryGone { .. } = error {
                 core.log.write(
                     LogKind::Dependency,
-                    json!({"on": "store", "prefix": prefix, "state": "history gone"}),
+                    json!({"on": "store", "prefix": sink.prefix(), "state": "history gone"}),
                 );
                 continue;
             }
-            failures += 1;
-            if failures == LOST_AFTER {
-                sink.note_contact(&core, true);
-                core.log.write(
-                    LogKind::Dependency,
-                    json!({
-                        "on": "store",
-                        "prefix": prefix,
-                        "state": "lost",
-                        "reason": error.to_string(),
-                    }),
-                );
+            contact.failures += 1;
+            contact.reason = error.to_string();
+            if contact.failures >= LOST_AFTER {
+                note_lost(&core, &sink, &mut contact);
             }
-            Timer::after(retry_pause(failures)).await;
+            Timer::after(RETRY_PAUSE).await;
         }
     });
 }
 
-/// Returns a pause that doubles with each failure, spread over the routers.
-fn retry_pause(failures: u32) -> Duration {
-    let doubled = RETRY_PACE.0 * 2_u32.pow(failures.clamp(1, 8) - 1);
-    doubled
-        .min(RETRY_PACE.1)
-        .mul_f64(0.75 + 0.5 * fastrand::f64())
+/// Waits until the store may be called; while others find it away, so is the prefix
+/// whose last call has failed.
+async fn wait_for_store(core: &GatewayCore, sink: &impl PrefixSink, contact: &mut PrefixContact) {
+    while let Some(again_at) = core.try_store_gate() {
+        if contact.failures > 0 {
+            note_lost(core, sink, contact);
+        }
+        Timer::at(again_at).await;
+    }
+}
+
+fn note_lost(core: &GatewayCore, sink: &impl PrefixSink, contact: &mut PrefixContact) {
+    if contact.is_lost {
+        return;
+    }
+    contact.is_lost = true;
+    sink.note_contact(core, true);
+    core.log.write(
+        LogKind::Dependency,
+        json!({
+            "on": "store",
+            "prefix": sink.prefix(),
+            "state": "lost",
+            "reason": contact.reason,
+        }),
+    );
 }
 
 enum Never {}
@@ -97,24 +116,27 @@
 async fn follow_once(
     core: &Arc<GatewayCore>,
     sink: &impl PrefixSink,
-    failures: &mut u32,
+    contact: &mut PrefixContact,
 ) -> Result<Never, StoreError> {
     let prefix = sink.prefix();
     let read = core
         .parts
         .store
         .read_prefix(&prefix, Instant::now() + READ_LIMIT);
-    let range = note(core, "read", read.await)?;
+    // A watch that is cut says little of the store; the read after it does.
+    let result = read.await;
+    core.note_store_answer(&result);
+    let range = note(core, "read", result)?;
     let mut as_of = range.as_of;
-    if *failures >= LOST_AFTER {
+    if contact.is_lost {
         core.log.write(
             LogKind::Dependency,
-            json!({"on": "store", "prefix": prefix, "state": "back", "failures": *failures}),
+            json!({"on": "store", "prefix": prefix, "state": "back", "failures": contact.failures}),
         );
     }
-    sink.replace(core, range, *failures > 0);
+    sink.replace(core, range, contact.failures > 0);
     sink.note_contact(core, false);
-    *failures = 0;
+    *contact = PrefixContact::default();
     loop {
         let watch = core.parts.store.watch_prefix(&prefix, as_of, WATCH_MS);
         let answer = note(core, "watch", watch.await)?;
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! Which waiting request is served next, and who is turned away.
 
+mod call_gate;
 mod drain_rate;
 mod fair_queue;
 mod first_come_queue;
@@ -11,6 +12,7 @@
 mod return_watch;
 mod wait_queue;
 
+pub use call_gate::CallGate;
 pub use drain_rate::DrainRate;
 pub use fair_queue::FairQueue;
 pub use first_come_queue::FirstComeQueue;
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -16,6 +16,8 @@
     records: BTreeMap<EndpointId, EndpointRecord>,
     missing_until: BTreeMap<EndpointId, Instant>,
     is_registry_lost: bool,
+    /// Moment until which entries of endpoints that live may be missing.
+    settles_at: Option<Instant>,
 }
 
 impl EndpointTable {
@@ -66,6 +68,10 @@
     /// Removes the endpoints whose grace period has ended; tells whether any went.
     pub fn expire(&mut self, now: Instant) -> bool {
         let mut has_changed = false;
+        if self.settles_at.is_some_and(|at| now >= at) {
+            self.settles_at = None;
+            has_changed = true;
+        }
         let ended: Vec<EndpointId> = self
             .missing_until
             .iter()
@@ -79,6 +85,17 @@
         has_changed
     }
 
+    /// Notes that entries of endpoints that live may be missing until `at`: this table
+    /// was read by a process that does not know what had lapsed before.
+    pub fn settle_at(&mut self, at: Instant) {
+        self.settles_at = Some(at);
+    }
+
+    /// Tells whether endpoints without an entry are gone.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.settles_at.is_none_or(|at| now >= at)
+    }
+
     /// Notes whether the registry cannot be read.
     pub fn set_registry_lost(&mut self, is_lost: bool) {
         self.is_registry_lost = is_lost;
--- a/lib/src/fleet/group_index.rs
+++ b/lib/src/fleet/group_index.rs
@@ -1,6 +1,7 @@
 //! The groups that follow from the registry.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use super::EndpointState;
 use super::EndpointTable;
@@ -16,8 +17,9 @@
 }
 
 impl GroupIndex {
-    /// Collects the groups of `table`; their sizes come from `config`.
-    pub fn collect(table: &EndpointTable, config: &ServingConfig) -> Self {
+    /// Collects the groups of `table` at `now`; their sizes come from `config`.
+    pub fn collect(table: &EndpointTable, config: &ServingConfig, now: Instant) -> Self {
+        let may_lack_entries = !table.is_settled(now);
         let mut groups: BTreeMap<GroupKey, GroupSummary> = BTreeMap::new();
         for record in table.iter() {
             let Some(membership) = &record.membership else {
@@ -48,6 +50,7 @@
                     members: Vec::new(),
                     size: profile.size,
                     is_draining: false,
+                    may_lack_entries,
                 });
             let member = (membership.rank, record.id.clone(), membership.state);
             summary.members.push(member);
--- a/lib/src/fleet/group_summary.rs
+++ b/lib/src/fleet/group_summary.rs
@@ -27,6 +27,8 @@
     pub size: usize,
     /// Whether a member is about to leave.
     pub is_draining: bool,
+    /// Whether members that live may have no entry yet.
+    pub may_lack_entries: bool,
 }
 
 impl GroupSummary {
@@ -54,15 +56,21 @@
 
     /// Tells whether every member holds its part of the model.
     pub fn is_loaded(&self) -> bool {
-        self.is_whole()
-            && self
-                .members
-                .iter()
-                .all(|(_, _, state)| !matches!(state, MemberState::Joining | MemberState::Broken))
+        self.is_whole() && self.hold_their_part()
     }
 
     /// Tells whether it may be given requests.
+    ///
+    /// A group that is open was whole. While entries may be missing, more than half of
+    /// them speak for all; streams show soon where that was wrong.
     pub fn is_serving(&self) -> bool {
-        self.is_loaded() && !self.is_draining && self.head_state() == Some(MemberState::Open)
+        let is_open = !self.is_draining && self.head_state() == Some(MemberState::Open);
+        let is_believed = self.may_lack_entries && 2 * self.members.len() > self.size;
+        is_open && self.hold_their_part() && (self.is_whole() || is_believed)
+    }
+
+    fn hold_their_part(&self) -> bool {
+        let mut states = self.members.iter().map(|(_, _, state)| state);
+        states.all(|state| !matches!(state, MemberState::Joining | MemberState::Broken))
     }
 }
--- a/lib/src/fleet/replica_planner/tend_groups.rs
+++ b/lib/src/fleet/replica_planner/tend_groups.rs
@@ -50,6 +50,10 @@
         let members = || summary.members.iter().map(|(_, id, _)| id.clone());
         let has_lost = members().any(|id| input.lost.contains(&id));
         let is_whole = summary.is_whole() && !has_lost;
+        if summary.may_lack_entries && !is_whole && !has_lost {
+            // Those that are missing may show yet.
+            return members().collect();
+        }
         match summary.head_state() {
             Some(MemberState::Open) if is_whole && !summary.is_draining => members().collect(),
             Some(MemberState::Ready | MemberState::Joining) if is_whole && !summary.is_draining => {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -83,8 +83,12 @@
 }
 
 fn targets(table: &EndpointTable, out: &[&str]) -> Vec<String> {
+    targets_at(table, out, Instant::now())
+}
+
+fn targets_at(table: &EndpointTable, out: &[&str], now: Instant) -> Vec<String> {
     let config = config(2);
-    let groups = GroupIndex::collect(table, &config);
+    let groups = GroupIndex::collect(table, &config, now);
     let out: BTreeSet<_> = out.iter().map(|zone| (*zone).into()).collect();
     let targets = TargetTable::collect(table, &groups, &config, &out);
     let pool = PoolKey {
@@ -473,3 +477,34 @@
     pace.note_probe(later);
     assert!(pace.is_due(later + Duration::from_millis(250)));
 }
+
+/// A router that has just started cannot tell an endpoint that is gone from one whose
+/// entry lapsed in an outage of the registry.
+#[test]
+fn open_groups_are_believed_whole_until_the_registry_has_settled() {
+    let now = Instant::now();
+    let mut table = EndpointTable::default();
+    table.settle_at(now + Duration::from_secs(2));
+    table.upsert(member("a", "g", 0, MemberState::Open));
+    assert_eq!(targets_at(&table, &[], now), Vec::<String>::new());
+    table.upsert(member("c", "h", 1, MemberState::Ready));
+    assert_eq!(targets_at(&table, &[], now), Vec::<String>::new());
+    table.upsert(member("b", "g", 1, MemberState::Ready));
+    assert_eq!(targets_at(&table, &[], now), ["a"]);
+    let engines: Vec<_> = ["d", "e", "f"].into_iter().enumerate().collect();
+    for (rank, id) in engines {
+        let state = if rank == 0 {
+            MemberState::Open
+        } else {
+            MemberState::Ready
+        };
+        table.upsert(member(id, "i", rank, state));
+    }
+    let config = config(4);
+    let serving = |now: Instant| {
+        let groups = GroupIndex::collect(&table, &config, now);
+        groups.groups[&key("i")].is_serving()
+    };
+    assert!(serving(now));
+    assert!(!serving(now + Duration::from_secs(2)));
+}
--- a/lib/tests/test_replica_planner.rs
+++ b/lib/tests/test_replica_planner.rs
@@ -229,3 +229,28 @@
     // Three leave, and wait for a fourth.
     assert_eq!(sim.orders_given - before, 3);
 }
+
+/// The pattern: the store was away for so long that entries lapsed, and all processes
+/// start anew before the last ones are back, within two seconds of its return. Groups
+/// that serve all the while must not be taken apart for members without an entry.
+#[test]
+fn groups_outlive_entries_that_are_not_back_yet() {
+    for seed in 0..20 {
+        let mut sim = ReplicaSim::new(SimPlan::default(), seed);
+        sim.run(LEAD_MS);
+        sim.has_traffic = true;
+        let before = sim.serving();
+        for (index, id) in sim.vms.keys().cloned().enumerate().collect::<Vec<_>>() {
+            if index % 5 == 0 {
+                let at = sim.now_ms + sim.rng.u64(200..2_000);
+                sim.hidden.insert(id, at);
+            }
+        }
+        sim.start_anew(2_500);
+        for _ in 0..40 {
+            sim.run(100);
+            assert_eq!(sim.serving(), before, "seed {seed}");
+        }
+        assert_eq!(sim.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -144,6 +144,9 @@
     next_vm: usize,
     snapshots: VecDeque<(u64, EndpointTable)>,
     reports: VecDeque<(u64, BTreeMap<EndpointId, EngineReport>)>,
+    /// VMs whose entries are missing until a moment.
+    pub hidden: BTreeMap<EndpointId, u64>,
+    settles_at: u64,
     late_orders: Vec<(u64, PlannedOrder, Option<u64>)>,
     loads: VecDeque<u64>,
     served: Vec<f64>,
@@ -181,6 +184,8 @@
             next_vm: 0,
             snapshots: VecDeque::new(),
             reports: VecDeque::new(),
+            hidden: BTreeMap::new(),
+            settles_at: 0,
             late_orders: Vec::new(),
             loads: VecDeque::new(),
             served,
@@ -285,6 +290,13 @@
         self.planner = ReplicaPlanner::new(self.fence, self.rng.u64(..));
     }
 
+    /// All processes start anew, while entries that lapsed in an outage come back.
+    pub fn start_anew(&mut self, settle_ms: u64) {
+        self.take_over();
+        self.settles_at = self.now_ms + settle_ms;
+        self.snapshots.clear();
+    }
+
     /// Runs for `span_ms`.
     pub fn run(&mut self, span_ms: u64) {
         let end = self.now_ms + span_ms;
@@ -383,9 +395,11 @@
 
     fn observe(&mut self) {
         let mut table = EndpointTable::default();
+        table.settle_at(self.start + Duration::from_millis(self.settles_at));
         for (id, vm) in &self.vms {
             let is_lapsed = !vm.is_alive && self.now_ms >= vm.died_at + LAPSE_MS;
-            if is_lapsed {
+            let hidden_until = self.hidden.get(id).copied().unwrap_or(0);
+            if is_lapsed || self.now_ms < hidden_until {
                 continue;
             }
             // A dead VM's entry stays as it was until it lapses.
@@ -449,7 +463,7 @@
         let Some((_, table)) = self.snapshots.front().cloned() else {
             return;
         };
-        let groups = GroupIndex::collect(&table, &self.config);
+        let groups = GroupIndex::collect(&table, &self.config, self.instant());
         let lost: BTreeSet<EndpointId> = self
             .vms
             .iter()
--- a/node/src/backends/store_error.rs
+++ b/node/src/backends/store_error.rs
@@ -43,6 +43,11 @@
 }
 
 impl StoreError {
+    /// Tells whether the store did not do its work, for whatever reason.
+    pub fn is_outage(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::Call(_))
+    }
+
     /// Tells whether a write may have taken effect all the same.
     pub fn is_in_doubt(&self) -> bool {
         matches!(self, Self::Call(error) if error.was_sent)
