fleet: what a router avoids is one list

Lost and slow endpoints and groups that broke up were three maps of the gateway. AvoidList keeps them, with the limit on slow ones under test; suspicions are logged as lost, moved or slow. No change of behaviour but that a slow member counts for all targets at once.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use jujuberoad::admission::CallGate;
 use jujuberoad::admission::FirstEventClock;
 use jujuberoad::admission::ReturnWatch;
+use jujuberoad::fleet::AvoidList;
 use jujuberoad::fleet::ColdGate;
 use jujuberoad::fleet::GroupKey;
 use jujuberoad::fleet::LoadTable;
@@ -48,8 +49,6 @@
 /// Time for which a slow endpoint is given no work and joins no group; it is asked
 /// again after that, and days of slow hosts last some seconds.
 const SLOW_FOR: Duration = Duration::from_millis(3_000);
-/// Part of all endpoints that may count as slow: with more of them it is the load.
-const SLOW_SHARE: f64 = 0.25;
 /// Time for which a group that has broken up is avoided; the registry shows it before.
 const GROUP_GONE_FOR: Duration = Duration::from_millis(4_500);
 /// Time for the report of such an endpoint.
@@ -70,9 +69,7 @@
     pub(crate) cold_gate: Mutex<ColdGate>,
     pub(crate) roll: Mutex<RouterRoll>,
     pub(crate) store_gate: Mutex<CallGate>,
-    pub(crate) lost: Mutex<HashMap<EndpointId, Instant>>,
-    pub(crate) slow: Mutex<HashMap<EndpointId, Instant>>,
-    pub(crate) groups_gone: Mutex<HashMap<GroupKey, Instant>>,
+    pub(crate) avoided: Mutex<AvoidList>,
     pub(crate) stalls: StallBoard,
     pub(crate) queue: SlotQueue,
     pub(crate) session: Session,
@@ -104,10 +101,7 @@
     /// Marks an endpoint as one that does not answer, for `span`.
     pub(crate) fn mark_lost_for(&self, endpoint: &EndpointId, span: Duration) {
         let until = Instant::now() + span;
-        self.lost
-            .lock()
-            .expect("lost lock")
-            .insert(endpoint.clone(), until);
+        self.avoided().mark_lost(endpoint, until);
     }
 
     /// Notes that an endpoint says it is not the one to ask: its group has changed
@@ -137,20 +131,15 @@
 
     /// Forgets that an endpoint did not answer.
     pub(crate) fn clear_lost(&self, endpoint: &EndpointId) {
-        self.lost.lock().expect("lost lock").remove(endpoint);
+        self.avoided().clear_lost(endpoint);
     }
 
-    /// Marks an endpoint as slow; tells whether it was, as only a few may be.
+    /// Marks an endpoint as slow; tells whether it is avoided, as only a few may be.
     pub(crate) fn mark_slow(&self, endpoint: &EndpointId) -> bool {
         let now = Instant::now();
-        let limit = self.board.endpoint_count() as f64 * SLOW_SHARE;
-        let mut slow = self.slow.lock().expect("slow lock");
-        slow.retain(|_, until| now < *until);
-        if slow.len() as f64 >= limit && !slow.contains_key(endpoint) {
-            return false;
-        }
-        slow.insert(endpoint.clone(), now + SLOW_FOR);
-        true
+        let count = self.board.endpoint_count();
+        self.avoided()
+            .mark_slow(endpoint, count, now, now + SLOW_FOR)
     }
 
     /// Avoids the group of a target, whose members have moved on.
@@ -163,39 +152,22 @@
     /// Avoids a group for `span`.
     pub(crate) fn avoid_group_for(&self, group: &GroupKey, span: Duration) {
         let now = Instant::now();
-        let mut gone = self.groups_gone.lock().expect("group lock");
-        gone.retain(|_, until| now < *until);
-        gone.insert(group.clone(), now + span);
-    }
-
-    /// Tells whether the group of a target has broken up.
-    pub(crate) fn is_group_gone(&self, target: &ServingTarget, now: Instant) -> bool {
-        let Some(group) = &target.group else {
-            return false;
-        };
-        let gone = self.groups_gone.lock().expect("group lock");
-        gone.get(group).is_some_and(|until| now < *until)
+        self.avoided().mark_gone(group, now, now + span);
     }
 
     /// Tells whether a target is known not to work.
-    pub(crate) fn is_given_up(&self, target: &ServingTarget) -> bool {
-        let now = Instant::now();
-        let lost = self.lost.lock().expect("lost lock");
-        let mut ids = target.members.iter().map(|(id, _)| id);
-        ids.any(|id| lost.get(id).is_some_and(|until| now < *until))
-            || self.is_group_gone(target, now)
+    pub(crate) fn is_broken(&self, target: &ServingTarget) -> bool {
+        self.avoided().is_broken(target, Instant::now())
     }
 
     /// Returns the endpoints that do not answer, or are too slow to be of use.
-    pub(crate) fn lost_endpoints(&self) -> BTreeSet<EndpointId> {
-        let now = Instant::now();
-        let mut found = BTreeSet::new();
-        for endpoints in [&self.lost, &self.slow] {
-            let mut endpoints = endpoints.lock().expect("lost lock");
-            endpoints.retain(|_, until| now < *until);
-            found.extend(endpoints.keys().cloned());
-        }
-        found
+    pub(crate) fn avoided_endpoints(&self) -> BTreeSet<EndpointId> {
+        self.avoided().endpoints(Instant::now())
+    }
+
+    /// Returns what this router avoids.
+    pub(crate) fn avoided(&self) -> MutexGuard<'_, AvoidList> {
+        self.avoided.lock().expect("avoid lock")
     }
 
     /// Takes one retry from the share of this router.
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -67,7 +67,7 @@
     if view.registry_seen_at.is_none() {
         return;
     }
-    let lost: BTreeSet<EndpointId> = core.lost_endpoints();
+    let lost: BTreeSet<EndpointId> = core.avoided_endpoints();
     let table = core.board.table();
     let has_traffic = !core.settings.is_first_start || core.has_traffic.load(Ordering::Relaxed);
     let input = PlannerInput {
--- a/gateway/src/silence_loop.rs
+++ b/gateway/src/silence_loop.rs
@@ -52,7 +52,7 @@
 /// A group that is known to be lost is not probed again, and only the router that
 /// finds it lost by its own streams tells the others.
 pub(crate) async fn examine(core: &GatewayCore, target: ServingTarget, cause: ProbeCause) {
-    if core.is_given_up(&target) {
+    if core.is_broken(&target) {
         core.stalls.give_up(&target.endpoint);
         return;
     }
@@ -82,14 +82,9 @@
         }
     }
     core.metrics.stalls.inc();
-    let verdict = fault.to_string();
-    log_verdict(
-        core,
-        &target,
-        cause,
-        "lost",
-        Some((&member, &verdict, streams)),
-    );
+    let reason = fault.to_string();
+    let found = Some((&member, reason.as_str(), streams));
+    log_verdict(core, &target, cause, fault.name(), found);
     if cause == ProbeCause::Silence {
         tell_peers(core, target, member, &fault).await;
     }
--- a/gateway/src/state_log.rs
+++ b/gateway/src/state_log.rs
@@ -63,7 +63,7 @@
             "endpoints": table.len(),
             "in_groups": in_groups,
             "free_staged": staged,
-            "lost": core.lost_endpoints().len(),
+            "lost": core.avoided_endpoints().len(),
             "own_requests": own,
             "waiting": core.queue.len(),
             "peers": peers,
--- a/gateway/src/taken_target.rs
+++ b/gateway/src/taken_target.rs
@@ -101,13 +101,11 @@
     fn try_take(core: &Arc<GatewayCore>, need: &TargetNeed) -> Option<Self> {
         let view = core.board.view();
         let targets = view.targets.pool(&need.pool);
-        let lost = core.lost_endpoints();
+        let avoid_list = core.avoided().clone();
         let now = Instant::now();
         let avoided = |target: &ServingTarget| {
             need.tried.contains(&target.endpoint)
-                || lost.contains(&target.endpoint)
-                || target.members.iter().any(|(id, _)| lost.contains(id))
-                || core.is_group_gone(target, now)
+                || avoid_list.is_avoided(target, now)
                 || core.stalls.is_suspect(&target.endpoint)
                 || !has_cold_room(core, target, now)
         };
--- a/lib/src/fleet/member_fault.rs
+++ b/lib/src/fleet/member_fault.rs
@@ -37,6 +37,15 @@
         report.is_slow().then_some(Self::Slow { pace_percent })
     }
 
+    /// Returns the name of the fault for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Silent { .. } => "lost",
+            Self::Moved { .. } => "moved",
+            Self::Slow { .. } => "slow",
+        }
+    }
+
     /// Returns the order in which faults count: what says most of the group first.
     pub fn rank(&self) -> u8 {
         match self {
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! that follow from it, a [`ReplicaPlanner`] the orders by which groups are
 //! formed and repaired. [`StallWatch`] notices a group that has fallen silent.
 
+mod avoid_list;
 mod cold_gate;
 mod endpoint_record;
 mod endpoint_state;
@@ -30,6 +31,7 @@
 mod target_picker;
 mod target_table;
 
+pub use avoid_list::AvoidList;
 pub use cold_gate::ColdGate;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
--- a/lib/src/fleet/probe_pace.rs
+++ b/lib/src/fleet/probe_pace.rs
@@ -3,17 +3,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::ids::Milliseconds;
+
 /// First pause between two probes of a group.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
+const FIRST_PAUSE_MS: Milliseconds = 250;
 /// Longest pause; callers leave a stream after two seconds without an event.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_000);
+const LONGEST_PAUSE_MS: Milliseconds = 2_000;
 
 /// Spaces the probes of one group: a probe costs a call to every member, and a group
 /// that is only slow would be probed after each of its events.
 #[derive(Clone, Copy, Debug)]
 pub struct ProbePace {
     next_at: Instant,
-    pause: Duration,
+    pause_ms: Milliseconds,
 }
 
 impl ProbePace {
@@ -21,7 +23,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             next_at: now,
-            pause: FIRST_PAUSE,
+            pause_ms: FIRST_PAUSE_MS,
         }
     }
 
@@ -32,10 +34,10 @@
 
     /// Notes a probe; the pauses grow until there has been none for a while.
     pub fn note_probe(&mut self, now: Instant) {
-        if now >= self.next_at + LONGEST_PAUSE {
-            self.pause = FIRST_PAUSE;
+        if now >= self.next_at + Duration::from_millis(LONGEST_PAUSE_MS) {
+            self.pause_ms = FIRST_PAUSE_MS;
         }
-        self.next_at = now + self.pause;
-        self.pause = (2 * self.pause).min(LONGEST_PAUSE);
+        self.next_at = now + Duration::from_millis(self.pause_ms);
+        self.pause_ms = (2 * self.pause_ms).min(LONGEST_PAUSE_MS);
     }
 }
--- a/lib/src/fleet/router_roll.rs
+++ b/lib/src/fleet/router_roll.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug)]
 pub struct RouterRoll {
     own: RouterId,
-    memory: Duration,
+    memory_ms: Milliseconds,
     others: BTreeMap<RouterId, Presence>,
     settles_at: Option<Instant>,
 }
@@ -39,7 +39,7 @@
     pub fn new(own: RouterId, memory_ms: Milliseconds) -> Self {
         Self {
             own,
-            memory: Duration::from_millis(memory_ms),
+            memory_ms,
             others: BTreeMap::new(),
             settles_at: None,
         }
@@ -60,7 +60,7 @@
     /// Notes that a router has left the list.
     pub fn forget(&mut self, router: &str, now: Instant) {
         if let Some(presence) = self.others.get_mut(router) {
-            *presence = Presence::GoneUntil(now + self.memory);
+            *presence = Presence::GoneUntil(now + Duration::from_millis(self.memory_ms));
         }
     }
 
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use insta::assert_snapshot;
+use jujuberoad::fleet::AvoidList;
 use jujuberoad::fleet::ColdGate;
 use jujuberoad::fleet::EndpointLoad;
 use jujuberoad::fleet::EndpointRecord;
@@ -508,3 +509,19 @@
     assert!(serving(now));
     assert!(!serving(now + Duration::from_secs(2)));
 }
+
+/// Where many hosts are slow at once, avoiding them would leave too few.
+#[test]
+fn only_a_few_endpoints_are_avoided_for_being_slow() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(3);
+    let mut list = AvoidList::default();
+    let ids: Vec<_> = (0..8).map(|index| format!("e{index}").into()).collect();
+    let marked: Vec<bool> = ids
+        .iter()
+        .map(|id| list.mark_slow(id, ids.len(), now, until))
+        .collect();
+    assert_eq!(marked.iter().filter(|is_marked| **is_marked).count(), 2);
+    assert_eq!(list.endpoints(now).len(), 2);
+    assert!(list.endpoints(until).is_empty());
+}
