fleet: pack groups of several models into fabric domains

Cause: a whole fabric domain went to one model. A model that had lost all its groups got none again while another one served with every VM that was left.

Ruled out: that loads or the order of repairs were the limit (20 of 66 VMs were free, 14 of them with the wide model's weights, from start to end).

Change: GroupPacking chooses the mix of each domain so that the model with the least capacity relative to its share has as much as possible; it is a pure function. The planner forms groups towards it, the scarcest model first, counts a VM as usable for the model of its last group and for the one its host stores, prepares spares of mixed domains for two models before traffic, and converts groups of a well covered model for one that has none while they still serve.

--- a/lib/src/fleet/replica_planner/mod.rs
+++ b/lib/src/fleet/replica_planner/mod.rs
@@ -4,6 +4,8 @@
 //! from the registry alone. The planner itself remembers only what the registry does not
 //! show, such as orders in flight, which it must not repeat.
 
+mod convert_groups;
+mod fleet_layout;
 mod form_groups;
 mod reconcile_groups;
 mod stage_weights;
@@ -26,6 +28,7 @@
 use crate::ids::Fence;
 use crate::ids::Incarnation;
 use crate::ids::ModelId;
+use crate::ids::ServiceId;
 use crate::serving::EngineProfile;
 
 /// Time after which an order without visible effect is sent again. It covers a registry
@@ -41,6 +44,9 @@
 /// Number of epoch ranges under one fence, for successive planners with the same fence.
 const RANGES_PER_FENCE: u64 = 100;
 
+use convert_groups::GroupConversion;
+use fleet_layout::FleetLayout;
+
 /// Plans the orders that load weights and form, open and dissolve groups.
 #[derive(Clone, Debug)]
 pub struct ReplicaPlanner {
@@ -58,6 +64,10 @@
     last_left_group: BTreeMap<EndpointId, GroupKey>,
     /// Groups that members have left but that the registry still shows them in.
     left_groups: BTreeMap<EndpointId, GroupKey>,
+    /// Planned and present groups of each service.
+    layouts: BTreeMap<ServiceId, FleetLayout>,
+    /// Groups whose members are to serve another model.
+    conversions: BTreeMap<GroupKey, GroupConversion>,
 }
 
 #[derive(Clone, Debug)]
@@ -95,6 +105,8 @@
             free_since: BTreeMap::new(),
             last_left_group: BTreeMap::new(),
             left_groups: BTreeMap::new(),
+            layouts: BTreeMap::new(),
+            conversions: BTreeMap::new(),
         }
     }
 
@@ -107,6 +119,7 @@
             let Some(engine) = &service.engine else {
                 continue;
             };
+            self.update_layout(name, engine, input);
             let occupied = self.reconcile_groups(name, input, &mut orders);
             let mut pool = ServicePool {
                 engine,
@@ -122,9 +135,11 @@
                 }
             }
             self.record_free_vms(name, &pool, input);
-            self.form_groups(&mut pool, input, &mut orders);
+            self.count_groups(name, input);
+            self.form_groups(name, &mut pool, input, &mut orders);
             self.warm_spares(&mut pool, input, &mut orders);
-            self.stage_weights(&pool, input, &mut orders);
+            self.stage_weights(name, &pool, input, &mut orders);
+            self.convert_groups(name, &pool, input, &mut orders);
         }
         orders
     }
@@ -181,6 +196,8 @@
         self.last_left_group
             .retain(|id, _| input.table.get(id).is_some());
         let groups = &input.groups.groups;
+        self.conversions
+            .retain(|key, conversion| groups.contains_key(key) && now < conversion.times_out_at);
         self.left_groups.retain(|id, key| {
             let record = input.table.get(id);
             let shown = record.and_then(|record| record.membership.as_ref());
@@ -191,6 +208,27 @@
         self.next_epoch = self.next_epoch.max(newest + 1);
     }
 
+    /// Returns the model with which a VM joins a group in the shortest time: the one of its
+    /// last group since its start.
+    fn loaded_model<'a>(&'a self, record: &'a EndpointRecord) -> Option<&'a ModelId> {
+        let known = self.loaded_models.get(&record.id);
+        let loaded = known.filter(|(incarnation, _)| *incarnation == record.incarnation);
+        loaded.map(|(_, model)| model).or(record.model.as_ref())
+    }
+
+    /// Returns whether a VM joins a group of `model` without loading from the weight store.
+    fn can_join(&self, record: &EndpointRecord, model: &str, input: &PlannerInput<'_>) -> bool {
+        let is_loaded = self
+            .loaded_model(record)
+            .is_some_and(|loaded| loaded == model);
+        if is_loaded || record.has_staged(model) {
+            return true;
+        }
+        // A join waits for a load that is in progress; loads are short before traffic.
+        let loading = self.loading.get(&record.id);
+        !input.has_traffic && loading.is_some_and(|loading| loading.model == model)
+    }
+
     fn next_key(&mut self, prefix: char) -> GroupKey {
         let epoch = self.next_epoch;
         self.next_epoch += 1;
--- a/lib/src/fleet/replica_planner/reconcile_groups.rs
+++ b/lib/src/fleet/replica_planner/reconcile_groups.rs
@@ -55,7 +55,13 @@
             return members().collect();
         }
         match summary.head_state() {
-            Some(MemberState::Open) if is_complete && !summary.is_draining => members().collect(),
+            Some(MemberState::Open) if is_complete && !summary.is_draining => {
+                self.close_for_conversion(summary, input, orders);
+                members().collect()
+            }
+            Some(MemberState::Ready) if self.conversions.contains_key(&summary.key) => {
+                self.dissolve(summary, input, orders)
+            }
             Some(MemberState::Ready | MemberState::Joining)
                 if is_complete && !summary.is_draining =>
             {
--- a/lib/src/fleet/replica_planner/stage_weights.rs
+++ b/lib/src/fleet/replica_planner/stage_weights.rs
@@ -1,79 +1,204 @@
 //! Chooses which VMs load which weights, and in which order.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::super::EndpointRecord;
 use super::super::PlannedOrder;
 use super::super::PlannerInput;
 use super::super::ReplicaOrder;
+use super::FleetLayout;
 use super::ReplicaPlanner;
 use super::ServicePool;
 use super::WeightLoad;
 use super::partition_by_domain;
-use crate::serving::EngineProfile;
+use crate::ids::ServiceId;
 use crate::serving::ModelProfile;
 
 /// Multiple of its nominal time after which a load counts as failed.
 const LOAD_TIMEOUT_FACTOR: u64 = 4;
+/// Time that a VM with weights must be free before it loads those of another model. The
+/// other members of its next group may be about to leave theirs.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Added to the urgency of models that have their planned number of groups.
+const SUFFICIENT_RANK: f64 = 100.0;
+
+/// A load that would bring a model closer to its next group.
+struct LoadCandidate<'a> {
+    /// Capacity of the model relative to its share, and missing members relative to the
+    /// group size; the lowest product comes first.
+    urgency: f64,
+    record: &'a EndpointRecord,
+    profile: &'a ModelProfile,
+}
 
 impl ReplicaPlanner {
-    /// Chooses models for VMs without weights and orders the loads. The model with the
-    /// least serving capacity relative to its share comes first, then the domain in which
-    /// the next group needs the fewest members.
+    /// Orders the loads of weights for the groups that are planned next.
     pub(super) fn stage_weights(
         &mut self,
+        service: &ServiceId,
+        pool: &ServicePool<'_>,
+        input: &PlannerInput<'_>,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        let Some(layout) = self.layouts.remove(service) else {
+            return;
+        };
+        if !input.has_traffic {
+            if layout.is_settled(input) {
+                self.stage_planned(&layout, pool, input, orders);
+            }
+        } else {
+            let mut candidates = self.load_candidates(&layout, pool, input);
+            candidates.sort_by(|left, right| left.urgency.total_cmp(&right.urgency));
+            let limit = pool.engine.parallel_loads.max(1);
+            for candidate in candidates {
+                if self.loading.len() >= limit {
+                    break;
+                }
+                self.begin_load(candidate.record, candidate.profile, input, orders);
+            }
+        }
+        self.layouts.insert(service.clone(), layout);
+    }
+
+    /// Assigns the free VMs of each domain to the planned groups and loads their weights.
+    /// VMs that are left over get the model of the largest groups.
+    fn stage_planned(
+        &mut self,
+        layout: &FleetLayout,
         pool: &ServicePool<'_>,
         input: &PlannerInput<'_>,
         orders: &mut Vec<PlannedOrder>,
     ) {
-        let mut load_candidates = Vec::new();
         for (domain, records) in partition_by_domain(&pool.free) {
-            for record in records.iter().copied() {
-                if !record.staged.is_empty() || self.loading.contains_key(&record.id) {
-                    continue;
+            let mut unassigned = records;
+            let mut profiles: Vec<&ModelProfile> = pool.engine.models.iter().collect();
+            profiles.sort_by_key(|profile| usize::MAX - profile.vms_per_group);
+            let planned: Vec<&ModelProfile> = profiles
+                .iter()
+                .copied()
+                .filter(|profile| layout.planned_in(&profile.model, &domain) > 0)
+                .collect();
+            for profile in &planned {
+                let groups = layout.planned_in(&profile.model, &domain);
+                let missing = groups.saturating_sub(layout.count_in(&profile.model, &domain));
+                unassigned.sort_by_key(|record| !self.can_join(record, &profile.model, input));
+                let count = (missing * profile.vms_per_group).min(unassigned.len());
+                for record in unassigned.drain(..count) {
+                    if !self.can_join(record, &profile.model, input) {
+                        self.begin_load(record, profile, input, orders);
+                    }
                 }
-                let Some(profile) = self.choose_model(&domain, record, pool.engine, input) else {
+            }
+            let Some(profile) = planned.first() else {
+                continue;
+            };
+            for (index, record) in unassigned.into_iter().enumerate() {
+                if self.loading.contains_key(&record.id) {
                     continue;
-                };
-                let missing = self.missing_member_count(&records, profile);
-                let coverage = serving_coverage(input, profile);
-                load_candidates.push((missing, coverage, record, profile));
-                if !input.has_traffic {
-                    // Loads are not limited yet, and each choice affects the next ones.
+                }
+                if record.staged.is_empty() {
                     self.begin_load(record, profile, input, orders);
+                } else if let Some(other) = self.second_model(record, &planned, index) {
+                    self.begin_load(record, other, input, orders);
                 }
             }
         }
-        if !input.has_traffic {
-            return;
+    }
+
+    /// Returns the model whose weights the host of a spare VM is to store beside the model
+    /// that the spare has loaded, so that it can replace a member of either model's groups.
+    fn second_model<'a>(
+        &self,
+        record: &EndpointRecord,
+        planned: &[&'a ModelProfile],
+        index: usize,
+    ) -> Option<&'a ModelProfile> {
+        let loaded = self.loaded_model(record)?;
+        let others: Vec<&ModelProfile> = planned
+            .iter()
+            .copied()
+            .filter(|profile| profile.model != *loaded)
+            .collect();
+        if others
+            .iter()
+            .any(|profile| record.has_staged(&profile.model))
+        {
+            return None;
         }
-        load_candidates.sort_by(|left, right| {
-            let by_missing = left.0.cmp(&right.0);
-            left.1.total_cmp(&right.1).then(by_missing)
-        });
-        let limit = pool.engine.parallel_loads.max(1);
-        for (_, _, record, profile) in load_candidates {
-            if self.loading.len() >= limit {
-                return;
+        others.get(index % others.len().max(1)).copied()
+    }
+
+    /// Returns the loads of free VMs that are useful while loads are limited: VMs without
+    /// weights load those of some model, idle VMs with weights only for a group that their
+    /// domain has enough free VMs for.
+    fn load_candidates<'a>(
+        &self,
+        layout: &FleetLayout,
+        pool: &ServicePool<'a>,
+        input: &PlannerInput<'_>,
+    ) -> Vec<LoadCandidate<'a>> {
+        let mut candidates = Vec::new();
+        let profiles = pool.engine.models.iter();
+        let coverage_sum: f64 = profiles.map(|profile| layout.coverage(profile)).sum();
+        for (_, records) in partition_by_domain(&pool.free) {
+            let best = pool.engine.models.iter().map(|profile| {
+                let missing = self.missing_member_count(&records, profile, input);
+                let missing_share = missing as f64 / profile.vms_per_group.max(1) as f64;
+                // Without any group, the model is as urgent as possible.
+                let coverage = layout.coverage(profile) / coverage_sum.max(1.0) + 0.01;
+                let is_short = layout.group_count(&profile.model) < layout.planned(&profile.model);
+                let rank = if is_short { 0.0 } else { SUFFICIENT_RANK };
+                (rank + missing_share * coverage, missing, profile)
+            });
+            let Some((urgency, missing, profile)) =
+                best.min_by(|left, right| left.0.total_cmp(&right.0))
+            else {
+                continue;
+            };
+            let is_short = layout.group_count(&profile.model) < layout.planned(&profile.model);
+            let has_enough = is_short && records.len() >= profile.vms_per_group;
+            let mut idle_count = missing;
+            for record in records {
+                let is_loading = self.loading.contains_key(&record.id);
+                if is_loading || self.can_join(record, &profile.model, input) {
+                    continue;
+                }
+                let is_empty = record.staged.is_empty();
+                let is_idle = self.is_free_for(record, MIN_IDLE_TIME, input);
+                if !is_empty && (!has_enough || !is_idle || idle_count == 0) {
+                    continue;
+                }
+                idle_count = idle_count.saturating_sub(1);
+                candidates.push(LoadCandidate {
+                    urgency,
+                    record,
+                    profile,
+                });
             }
-            self.begin_load(record, profile, input, orders);
         }
+        candidates
     }
 
     /// Returns how many members the next group of a model still needs in a domain.
-    fn missing_member_count(&self, free: &[&EndpointRecord], profile: &ModelProfile) -> usize {
-        let has_or_loads = |record: &&&EndpointRecord| {
+    fn missing_member_count(
+        &self,
+        free: &[&EndpointRecord],
+        profile: &ModelProfile,
+        input: &PlannerInput<'_>,
+    ) -> usize {
+        let is_member = |record: &&&EndpointRecord| {
             let loading = self.loading.get(&record.id);
-            record.has_staged(&profile.model)
+            self.can_join(record, &profile.model, input)
                 || loading.is_some_and(|loading| loading.model == profile.model)
         };
-        let member_count = free.iter().filter(has_or_loads).count();
-        profile.vms_per_group - member_count % profile.vms_per_group
+        let size = profile.vms_per_group.max(1);
+        size - free.iter().filter(is_member).count() % size
     }
 
-    fn begin_load(
+    /// Orders a VM to load the weights of a model from the weight store.
+    pub(super) fn begin_load(
         &mut self,
         record: &EndpointRecord,
         profile: &ModelProfile,
@@ -89,65 +214,14 @@
             model: profile.model.clone(),
         };
         // If such an order is still in flight, no new load is counted.
-        if self.push(&record.id, order, "the host has no weights", input, orders) {
+        if self.push(
+            &record.id,
+            order,
+            "the host lacks the weights",
+            input,
+            orders,
+        ) {
             self.loading.insert(record.id.clone(), loading);
         }
     }
-
-    /// Chooses the model of a VM without weights: the most frequent one of its domain, so
-    /// that the remaining members of dissolved groups can form new ones. In a domain without
-    /// weights, it is the model in the fewest domains relative to its share, compared within
-    /// the zone first and over all zones second.
-    fn choose_model<'a>(
-        &self,
-        domain: &str,
-        record: &EndpointRecord,
-        engine: &'a EngineProfile,
-        input: &PlannerInput<'_>,
-    ) -> Option<&'a ModelProfile> {
-        let mut in_domain: BTreeMap<&str, usize> = BTreeMap::new();
-        let mut domains: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
-        let mut zone_domains: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
-        for other in input.table.iter() {
-            if other.service != record.service {
-                continue;
-            }
-            let loading = self.loading.get(&other.id).map(|loading| &loading.model);
-            let Some(model) = loading.or(other.staged.first()) else {
-                continue;
-            };
-            domains.entry(model).or_default().insert(&other.domain);
-            if other.domain == domain {
-                *in_domain.entry(model).or_default() += 1;
-            }
-            if other.zone == record.zone {
-                zone_domains.entry(model).or_default().insert(&other.domain);
-            }
-        }
-        let domain_coverage = |counts: &BTreeMap<&str, BTreeSet<&str>>, profile: &ModelProfile| {
-            let count = counts.get(profile.model.as_str()).map_or(0, BTreeSet::len);
-            count as f64 / profile.share.max(0.01)
-        };
-        let domain_model = engine
-            .models
-            .iter()
-            .max_by_key(|profile| in_domain.get(profile.model.as_str()).copied().unwrap_or(0))?;
-        if in_domain.contains_key(domain_model.model.as_str()) {
-            return Some(domain_model);
-        }
-        engine.models.iter().min_by(|left, right| {
-            let by_zone = domain_coverage(&zone_domains, left)
-                .total_cmp(&domain_coverage(&zone_domains, right));
-            by_zone
-                .then(domain_coverage(&domains, left).total_cmp(&domain_coverage(&domains, right)))
-        })
-    }
-}
-
-/// Returns the number of VMs in serving groups of a model, divided by its share.
-fn serving_coverage(input: &PlannerInput<'_>, profile: &ModelProfile) -> f64 {
-    let groups = input.groups.groups.values();
-    let serving = groups.filter(|group| group.model == profile.model && group.is_serving());
-    let members = serving.count() * profile.vms_per_group;
-    members as f64 / profile.share.max(0.01)
 }
--- a/lib/src/fleet/replica_planner/warm_spares.rs
+++ b/lib/src/fleet/replica_planner/warm_spares.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::super::EndpointRecord;
 use super::super::GroupSummary;
 use super::super::MemberState;
 use super::super::PlannedOrder;
@@ -50,6 +51,17 @@
         }
     }
 
+    /// Returns whether a VM has been free for `span`.
+    pub(super) fn is_free_for(
+        &self,
+        record: &EndpointRecord,
+        span: Duration,
+        input: &PlannerInput<'_>,
+    ) -> bool {
+        let since = self.free_since.get(&record.id);
+        since.is_some_and(|since| input.now >= *since + span)
+    }
+
     /// Orders spare VMs to join single-member groups and load their model. A VM that had the
     /// same model in its last group joins in a fraction of the time.
     pub(super) fn warm_spares(
@@ -63,12 +75,8 @@
             let Some(model) = record.staged.first() else {
                 continue;
             };
-            let is_warm = record.model.as_ref() == Some(model)
-                || self.loaded_models.get(&record.id) == Some(&(record.incarnation, model.clone()));
-            let is_settled = self
-                .free_since
-                .get(&record.id)
-                .is_some_and(|since| input.now >= *since + MIN_FREE_TIME);
+            let is_warm = self.loaded_model(record).is_some();
+            let is_settled = !input.has_traffic || self.is_free_for(record, MIN_FREE_TIME, input);
             if is_warm || !is_settled || self.warmup_groups.contains_key(&record.id) {
                 continue;
             }
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -276,6 +276,14 @@
             .collect()
     }
 
+    /// Returns the running VMs whose hosts store the weights of a model.
+    pub fn alive_with(&self, model: &str) -> Vec<EndpointId> {
+        let vms = self.vms.iter();
+        vms.filter(|(_, vm)| vm.is_alive && vm.staged.iter().any(|staged| staged == model))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// Restarts a failed VM; its host keeps the weights.
     pub fn revive(&mut self, id: &EndpointId) {
         if let Some(vm) = self.vms.get_mut(id) {
