era, gateway: follow a store that is restored from an older copy

Cause: nothing read the era of the store's answers. The fence of an order was the revision of the lock and epochs were computed from it, so both went back with a restore; marks, drains and routers that the copy lacks vanished at once, and an older configuration replaced a newer one.

Ruled out: bit fields for era and revision in an epoch (too few bits for a revision that is never reset); asking engines for fences (they report none).

Change: one clock of eras a process, which every answer passes first; versions ordered over eras; a session that begins anew; grace periods for what is missing; a failed call keeps authority for 3 s and only if it was valid.

--- a/gateway/src/fleet_cache.rs
+++ b/gateway/src/fleet_cache.rs
@@ -62,11 +62,14 @@
         state.evacuated.keys().cloned().collect()
     }
 
-    /// Replaces the configuration if `version` is newer than the cached one; returns
-    /// whether it was replaced.
+    /// Replaces the configuration if it is newer than the cached one; returns whether it was
+    /// replaced. The operator's own version decides first, because a store that was restored
+    /// from a copy may show an older configuration under a newer `version`.
     pub(crate) fn set_config(&self, config: ServingConfig, version: StoreVersion) -> bool {
         let mut state = self.state.lock().expect("fleet cache lock");
-        if version <= state.config_version {
+        let known = state.view.config.as_ref().map(|config| config.version);
+        let is_newer = (Some(config.version), version) > (known, state.config_version);
+        if !is_newer {
             return false;
         }
         state.config_version = version;
@@ -83,6 +86,12 @@
         is_new
     }
 
+    /// Returns the store version of a zone's mark, if the zone is evacuated.
+    pub(crate) fn evacuation_version(&self, zone: &ZoneId) -> Option<StoreVersion> {
+        let state = self.state.lock().expect("fleet cache lock");
+        state.evacuated.get(zone).copied()
+    }
+
     /// Returns a zone to service; returns whether it was evacuated before.
     pub(crate) fn restore_zone(&self, zone: &ZoneId) -> bool {
         let mut state = self.state.lock().expect("fleet cache lock");
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -22,6 +22,7 @@
 use jujuberoad::fleet::RetryAllowance;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::Fence;
 use jujuberoad::ids::RouterId;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
@@ -62,6 +63,8 @@
     pub(crate) pool: Arc<HttpPool>,
     pub(crate) peers: Arc<PeerSocket>,
     pub(crate) peer_addresses: Mutex<BTreeMap<RouterId, SocketAddr>>,
+    /// Routers that are missing from the list since the store was restored.
+    pub(crate) unconfirmed_routers: Mutex<BTreeSet<RouterId>>,
     pub(crate) loads: Mutex<LoadTable>,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
@@ -194,12 +197,19 @@
         let mut breaker = self.store_breaker.lock().expect("store breaker lock");
         match result {
             Err(error) if error.is_outage() => {
+                self.session.note_store_failure();
                 breaker.record_failure(Instant::now(), fastrand::f64());
             }
             _ => breaker.record_success(),
         }
     }
 
+    /// Returns the fencing token under which orders may be sent now, if any.
+    pub(crate) fn order_fence(&self) -> Option<Fence> {
+        self.session
+            .order_fence(self.backends.store.eras().newest())
+    }
+
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -180,6 +180,7 @@
         pool: HttpPool::with_connect_timeout(CONNECT_TIMEOUT_MS),
         peers,
         peer_addresses: Mutex::default(),
+        unconfirmed_routers: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
         first_events: Mutex::default(),
         caller_retries: Mutex::default(),
@@ -212,6 +213,7 @@
     store_watch::follow(Arc::clone(core), LockSink);
     store_watch::follow(Arc::clone(core), RouterSink);
     store_session::start(Arc::clone(core));
+    store_session::follow_eras(Arc::clone(core));
     placer_loop::start(Arc::clone(core));
     stall_probe::start(Arc::clone(core));
     peer_exchange::start(Arc::clone(core));
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -49,6 +49,7 @@
     pub(crate) retries: Counter,
     pub(crate) resumes: Counter,
     pub(crate) probes: Counter,
+    pub(crate) store_eras: Counter,
     pub(crate) stalls: Counter,
     pub(crate) first_event_ms: Histogram,
     total_ms: Histogram,
@@ -67,6 +68,7 @@
             retries: Counter::default(),
             resumes: Counter::default(),
             probes: Counter::default(),
+            store_eras: Counter::default(),
             stalls: Counter::default(),
             first_event_ms: Histogram::new(LATENCY_BOUNDS),
             total_ms: Histogram::new(LATENCY_BOUNDS),
@@ -100,6 +102,11 @@
             "Streams resumed elsewhere",
             metrics.resumes.clone(),
         );
+        registry.register(
+            "store_eras",
+            "Restores of the store seen by this process",
+            metrics.store_eras.clone(),
+        );
         registry.register("probes", "Probes of silent groups", metrics.probes.clone());
         registry.register("stalls", "Groups confirmed as lost", metrics.stalls.clone());
         let first = metrics.first_event_ms.clone();
--- a/gateway/src/lock_sink.rs
+++ b/gateway/src/lock_sink.rs
@@ -11,6 +11,7 @@
 use crate::gateway_core::GatewayCore;
 use crate::store_session::PLACER_KEY;
 use crate::store_watch::PrefixSink;
+use crate::store_watch::ReadCause;
 
 /// Passes changes of the lock to the session without delay, because no group is
 /// repaired until a standby has acquired a free lock.
@@ -18,8 +19,7 @@
 
 impl LockSink {
     fn apply_item(&self, core: &GatewayCore, item: &StoredItem) {
-        let is_own = item.value == core.settings.id.as_bytes();
-        core.session.observe_lock(Some((item.version, is_own)));
+        core.session.observe_lock(Some((item.version, &item.value)));
     }
 }
 
@@ -28,7 +28,7 @@
         PLACER_KEY.to_owned()
     }
 
-    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _cause: ReadCause) {
         match range.items.iter().find(|item| item.key == PLACER_KEY) {
             Some(item) => self.apply_item(core, item),
             None => core.session.observe_lock(None),
--- a/gateway/src/operator_sink.rs
+++ b/gateway/src/operator_sink.rs
@@ -8,11 +8,18 @@
 use jujuberoad_node::backends::StoreEvent;
 use jujuberoad_node::backends::StoredItem;
 use jujuberoad_node::backends::StoredRange;
+use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
+use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
 use crate::store_watch::PrefixSink;
+use crate::store_watch::ReadCause;
+
+/// Time for which a mark that is missing after a restore of the store stays in force. The
+/// operator writes its marks again within seconds.
+const EVACUATION_GRACE: Duration = Duration::from_secs(5);
 
 /// Applies what the operator writes to the store.
 pub(crate) struct OperatorSink {
@@ -63,7 +70,7 @@
         self.prefix.clone()
     }
 
-    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, cause: ReadCause) {
         let dialect = &core.backends.dialect;
         let evacuated: Vec<_> = range
             .items
@@ -71,7 +78,12 @@
             .filter_map(|item| dialect.evacuated_zone(&item.key))
             .collect();
         for zone in core.fleet.evacuated() {
-            if !evacuated.contains(&zone) {
+            if evacuated.contains(&zone) {
+                continue;
+            }
+            if cause == ReadCause::Restore {
+                restore_zone_later(core, zone, range.as_of);
+            } else {
                 restore_zone(core, &zone, range.as_of);
             }
         }
@@ -100,6 +112,25 @@
     }
 }
 
+/// Returns a zone to service unless the operator marks it again: the mark may have been
+/// lost with the writes that a restore of the store took back.
+fn restore_zone_later(core: &Arc<GatewayCore>, zone: ZoneId, version: StoreVersion) {
+    let Some(marked) = core.fleet.evacuation_version(&zone) else {
+        return;
+    };
+    core.log.write(
+        LogKind::Evacuation,
+        json!({"zone": zone, "state": "kept", "reason": "missing after a restore"}),
+    );
+    let core = Arc::clone(core);
+    runtime::spawn(async move {
+        Timer::after(EVACUATION_GRACE).await;
+        if core.fleet.evacuation_version(&zone) == Some(marked) {
+            restore_zone(&core, &zone, version);
+        }
+    });
+}
+
 fn restore_zone(core: &GatewayCore, zone: &ZoneId, version: StoreVersion) {
     if core.fleet.restore_zone(zone) {
         core.log.write(
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -65,7 +65,8 @@
                 own.map(|(endpoint, load)| (endpoint.clone(), *load))
                     .collect()
             };
-            let placer = core.session.order_fence();
+            let era = core.backends.store.eras().newest();
+            let placer = core.session.announced_fence(era);
             broadcast(&core, PeerMessage::Loads { loads, placer }).await;
         }
     });
@@ -77,7 +78,7 @@
     as_of: Option<StoreVersion>,
     updates: Vec<(EndpointId, EngineReport)>,
 ) {
-    let Some(fence) = core.session.order_fence() else {
+    let Some(fence) = core.order_fence() else {
         return;
     };
     if updates.is_empty() {
@@ -96,6 +97,21 @@
     });
 }
 
+/// Tells all peers the fence of a lock that was just acquired, so that a former holder that
+/// is cut off from the store stops.
+pub(crate) async fn announce_fence(core: &GatewayCore) {
+    let era = core.backends.store.eras().newest();
+    let Some(placer) = core.session.announced_fence(era) else {
+        return;
+    };
+    let message = PeerMessage::EngineReports {
+        placer,
+        as_of: None,
+        reports: Vec::new(),
+    };
+    broadcast(core, message).await;
+}
+
 /// Sends a message to all other routers.
 pub(crate) async fn broadcast(core: &GatewayCore, message: PeerMessage) {
     let peers: Vec<SocketAddr> = {
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -35,7 +35,7 @@
         let mut term: Option<(Fence, SharedPlanner)> = None;
         loop {
             Timer::after(PLAN_INTERVAL).await;
-            let current = core.session.order_fence();
+            let current = core.order_fence();
             let was_active = core.is_placer.swap(current.is_some(), Ordering::Relaxed);
             let Some(fence) = current else {
                 core.is_forming_groups.store(false, Ordering::Relaxed);
@@ -98,7 +98,7 @@
     planner: &SharedPlanner,
     order: PlannedOrder,
 ) {
-    let is_valid = core.session.order_fence() == Some(fence);
+    let is_valid = core.order_fence() == Some(fence);
     if !is_valid {
         return;
     }
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -20,6 +20,7 @@
 use crate::gateway_core::GatewayCore;
 use crate::peer_exchange;
 use crate::store_watch::PrefixSink;
+use crate::store_watch::ReadCause;
 
 /// Delay between registry watches, as a share of the time after which a leaving
 /// endpoint must receive no more requests; the rest is left for a full read after a
@@ -90,20 +91,23 @@
         self.prefix.clone()
     }
 
-    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, cause: ReadCause) {
         let now = Instant::now();
         *self.settles_at.lock().expect("registry settle time lock") = Some(now + SETTLE_TIME);
         let mut records = Vec::new();
         for item in &range.items {
             records.extend(self.decode(core, item));
         }
-        let keep_until = after_outage.then(|| now + ENTRY_GRACE);
+        let keep_until = (cause != ReadCause::Routine).then(|| now + ENTRY_GRACE);
         let count = records.len();
         let is_unsettled = !self.is_settled(core);
         core.fleet.update_registry(range.as_of, now, |table| {
             if is_unsettled && table.is_empty() {
                 table.set_settles_at(now + SETTLE_TIME);
             }
+            if cause == ReadCause::Restore {
+                table.drop_departed(&mut records);
+            }
             table.replace_all(records, keep_until);
             true
         });
@@ -116,7 +120,7 @@
         }
         core.log.write(
             LogKind::Endpoint,
-            json!({"read": count, "version": range.as_of, "after_outage": after_outage}),
+            json!({"read": count, "version": range.as_of, "after": cause.to_string()}),
         );
         core.queue.wake_all();
     }
--- a/gateway/src/router_sink.rs
+++ b/gateway/src/router_sink.rs
@@ -10,17 +10,24 @@
 use jujuberoad_node::backends::StoreEvent;
 use jujuberoad_node::backends::StoredItem;
 use jujuberoad_node::backends::StoredRange;
+use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
+use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
 use crate::store_session::ROUTER_PREFIX;
 use crate::store_watch::PrefixSink;
+use crate::store_watch::ReadCause;
 
 /// Delay between watches, because each router that joins or leaves wakes all others. A
 /// late update is acceptable: shares of common limits leave room for one unknown router.
 const ROUTER_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Time for which a router that is missing after a restore of the store still counts.
+/// Routers register anew within a renewal interval and a call.
+const REGISTRATION_GRACE: Duration = Duration::from_millis(3_000);
+
 /// Maintains the addresses of peers and the list of routers that share limits.
 pub(crate) struct RouterSink;
 
@@ -32,6 +39,9 @@
         let text = String::from_utf8_lossy(&item.value);
         match text.parse::<SocketAddr>() {
             Ok(address) => {
+                let mut unconfirmed = core.unconfirmed_routers.lock().expect("router lock");
+                unconfirmed.remove(&id);
+                drop(unconfirmed);
                 core.quota_divider
                     .lock()
                     .expect("quota divider lock")
@@ -57,12 +67,36 @@
     }
 }
 
+impl RouterSink {
+    /// Keeps routers that are missing after a restore of the store until they have had time
+    /// to register again, so that no router takes itself for the only one.
+    fn forget_later(&self, core: &Arc<GatewayCore>, missing: Vec<RouterId>) {
+        if missing.is_empty() {
+            return;
+        }
+        let mut unconfirmed = core.unconfirmed_routers.lock().expect("router lock");
+        unconfirmed.extend(missing);
+        drop(unconfirmed);
+        let core = Arc::clone(core);
+        runtime::spawn(async move {
+            Timer::after(REGISTRATION_GRACE).await;
+            let missing = {
+                let mut unconfirmed = core.unconfirmed_routers.lock().expect("router lock");
+                std::mem::take(&mut *unconfirmed)
+            };
+            for id in missing {
+                RouterSink.forget(&core, &id);
+            }
+        });
+    }
+}
+
 impl PrefixSink for RouterSink {
     fn prefix(&self) -> String {
         ROUTER_PREFIX.to_owned()
     }
 
-    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, _after_outage: bool) {
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, cause: ReadCause) {
         let known: Vec<RouterId> = {
             let peers = core.peer_addresses.lock().expect("peer lock");
             peers.keys().cloned().collect()
@@ -71,8 +105,13 @@
             let mut ids = range.items.iter();
             ids.any(|item| item.key.strip_prefix(ROUTER_PREFIX) == Some(id.as_str()))
         };
-        for id in known.iter().filter(|id| !is_listed(id)) {
-            self.forget(core, id);
+        let missing: Vec<RouterId> = known.into_iter().filter(|id| !is_listed(id)).collect();
+        if cause == ReadCause::Restore {
+            self.forget_later(core, missing);
+        } else {
+            for id in &missing {
+                self.forget(core, id);
+            }
         }
         for item in &range.items {
             self.apply_item(core, item);
--- a/gateway/src/store_session.rs
+++ b/gateway/src/store_session.rs
@@ -7,9 +7,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use jujuberoad::era::StoreEra;
 use jujuberoad::fleet::OrderAuthority;
 use jujuberoad::ids::Fence;
 use jujuberoad::ids::Milliseconds;
+use jujuberoad::ids::Nonce;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::backends::LeaseId;
@@ -22,6 +24,7 @@
 
 use crate::boot_clock;
 use crate::gateway_core::GatewayCore;
+use crate::peer_exchange;
 
 /// Key prefix of router entries.
 pub(crate) const ROUTER_PREFIX: &str = "jujuberoad/routers/";
@@ -33,6 +36,10 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 /// Number of copies sent of a handover message, because datagrams may be lost.
 const HANDOVER_SENDS: u32 = 3;
+/// Time between acquiring the lock in an era that a restore of the store has begun and the
+/// first order. Peers hear of the new fence within a digest interval, so that a holder of
+/// the last era that is cut off from the store stops first.
+const NEW_ERA_ORDER_DELAY: Duration = Duration::from_millis(400);
 /// Timeout for a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -45,6 +52,13 @@
     is_lock_held: bool,
     has_entry: bool,
     has_read_lock: bool,
+    /// Random number by which this router recognizes a lock that it has acquired in the
+    /// current era, even if the answer was lost.
+    lock_nonce: Option<Nonce>,
+    /// Era of the store that the lease and the lock belong to, once it is known.
+    era: Option<StoreEra>,
+    /// Whether the store was restored while this process ran.
+    was_restored: bool,
 }
 
 /// Session state, shared by the renewal task and the tasks that send orders.
@@ -54,9 +68,58 @@
 }
 
 impl StoreSession {
-    /// Returns the fencing token under which orders may be sent now, if any.
-    pub(crate) fn order_fence(&self) -> Option<Fence> {
-        self.lock().order_authority.current(boot_clock::now())
+    /// Returns the fencing token under which orders may be sent now, if any, while the
+    /// newest era of the store is `era`.
+    pub(crate) fn order_fence(&self, era: StoreEra) -> Option<Fence> {
+        let state = self.lock();
+        let authority = &state.order_authority;
+        authority
+            .current(boot_clock::now())
+            .filter(|_| authority.era() == era)
+    }
+
+    /// Returns the fencing token that peers are told, also while orders are still delayed.
+    pub(crate) fn announced_fence(&self, era: StoreEra) -> Option<Fence> {
+        let state = self.lock();
+        let authority = &state.order_authority;
+        authority
+            .announced(boot_clock::now())
+            .filter(|_| authority.era() == era)
+    }
+
+    /// Records that a call to the store failed.
+    pub(crate) fn note_store_failure(&self) {
+        self.lock().order_authority.store_failed(boot_clock::now());
+    }
+
+    /// Forgets what an older era of the store has granted. A lease, a lock or an entry of
+    /// that era may reappear in the restored copy, but gives no authority.
+    fn begin_era(&self, era: StoreEra) {
+        let mut state = self.lock();
+        let mut order_authority = std::mem::take(&mut state.order_authority);
+        order_authority.era_begun(era);
+        *state = SessionState {
+            era: Some(era),
+            was_restored: true,
+            order_authority,
+            ..SessionState::default()
+        };
+    }
+
+    /// Returns the era that the lease and the lock belong to. The first era that the store
+    /// shows to this process is taken over without further ado.
+    fn era_or_adopt(&self, newest: StoreEra) -> StoreEra {
+        let mut state = self.lock();
+        if let Some(era) = state.era {
+            return era;
+        }
+        state.era = Some(newest);
+        state.order_authority.era_begun(newest);
+        newest
+    }
+
+    fn era(&self) -> Option<StoreEra> {
+        self.lock().era
     }
 
     /// Ends the term of a fence that an engine has refused.
@@ -75,17 +138,18 @@
         self.lock().order_authority.take_over(fence)
     }
 
-    /// Records the state of the lock in the store: its version and whether this router
-    /// holds it, or `None` if it is free.
-    pub(crate) fn observe_lock(&self, held: Option<(StoreVersion, bool)>) {
+    /// Records the state of the lock in the store: its version and value, or `None` if it is
+    /// free.
+    pub(crate) fn observe_lock(&self, held: Option<(StoreVersion, &[u8])>) {
         let mut state = self.lock();
         state.has_read_lock = true;
         state.is_lock_held = held.is_some();
+        let nonce = state.lock_nonce;
         // The lock may have been acquired by a write whose response was lost.
         match held {
-            Some((version, true)) if state.lease.is_some() => {
+            Some((version, value)) if nonce.is_some_and(|nonce| has_nonce(value, nonce)) => {
                 if state.order_authority.fence().is_none() {
-                    state.order_authority.lock_acquired(version);
+                    state.acquire(version);
                 }
             }
             // Also ends authority that a peer handed over during an outage, once the
@@ -99,11 +163,59 @@
         self.lock().has_entry = false;
     }
 
+    /// Returns the number under which the lock is to be acquired.
+    fn lock_nonce(&self) -> Nonce {
+        *self
+            .lock()
+            .lock_nonce
+            .get_or_insert_with(|| fastrand::u64(..))
+    }
+
     fn lock(&self) -> MutexGuard<'_, SessionState> {
         self.state.lock().expect("session lock")
     }
 }
 
+impl SessionState {
+    fn acquire(&mut self, fence: Fence) {
+        self.order_authority.lock_acquired(fence);
+        if self.was_restored {
+            let orders_from = boot_clock::now() + NEW_ERA_ORDER_DELAY;
+            self.order_authority.delay_orders(orders_from);
+        }
+    }
+}
+
+/// Returns whether a value of the lock names the holder's random number.
+fn has_nonce(value: &[u8], nonce: Nonce) -> bool {
+    let text = std::str::from_utf8(value).unwrap_or_default();
+    let held = text.rsplit_once(' ').map(|(_, held)| held);
+    held == Some(nonce.to_string().as_str())
+}
+
+/// Starts the task that begins a new era of the session when the store was restored.
+pub(crate) fn follow_eras(core: Arc<GatewayCore>) {
+    runtime::spawn(async move {
+        loop {
+            let Some(known) = core.session.era() else {
+                Timer::after(RENEW_INTERVAL).await;
+                continue;
+            };
+            core.backends.store.eras().wait_beyond(known).await;
+            let era = core.backends.store.eras().newest();
+            core.session.begin_era(era);
+            core.metrics.store_eras.inc();
+            core.log.write(
+                LogKind::Dependency,
+                json!({"on": "store", "state": "new era", "era": era, "was": known}),
+            );
+            if let Err(error) = renew_session(&core).await {
+                handle_failure(&core, &error);
+            }
+        }
+    });
+}
+
 /// Starts the loop that opens and renews the lease and acquires the lock when it is free.
 pub(crate) fn start(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
@@ -118,7 +230,6 @@
             core.record_store_result(&result);
             if let Err(error) = &result {
                 core.metrics.record_call("lease", "failed");
-                core.session.lock().order_authority.store_failed();
                 handle_failure(&core, error);
             }
             Timer::after(RENEW_INTERVAL).await;
@@ -144,7 +255,7 @@
         // No other router can acquire the lock while the store is unavailable, so this
         // router keeps the authority until it exits.
         Err(error) => {
-            core.session.lock().order_authority.store_failed();
+            core.session.note_store_failure();
             let reason = error.to_string();
             core.log.write(
                 LogKind::Lease,
@@ -157,7 +268,7 @@
 /// Hands the authority to send orders over to a peer before exiting, if the lock could
 /// not be released in the store.
 pub(crate) async fn hand_over(core: &GatewayCore) {
-    let Some(fence) = core.session.order_fence() else {
+    let Some(fence) = core.order_fence() else {
         return;
     };
     core.session.end_term(fence);
@@ -194,7 +305,13 @@
     };
     core.metrics.record_call("lease", "ok");
     {
+        let newest = core.backends.store.eras().newest();
+        let era = core.session.era_or_adopt(newest);
         let mut state = core.session.lock();
+        if state.era != Some(newest) || era != newest {
+            // The session begins anew in the era that has begun.
+            return Ok(());
+        }
         state.lease = Some(lease);
         // Measured from before the call, so the local lease expires before the store's.
         let valid_until = called_at + Duration::from_millis(ttl_ms);
@@ -211,6 +328,7 @@
     let key = format!("{ROUTER_PREFIX}{}", core.settings.id);
     let value = Bytes::from(core.settings.peers.to_string());
     let transaction = StoreTransaction {
+        era: core.session.era().unwrap_or(0),
         writes: vec![(key, value, Some(lease))],
         ..StoreTransaction::default()
     };
@@ -231,11 +349,13 @@
             return Ok(());
         }
     }
+    let nonce = core.session.lock_nonce();
     let transaction = StoreTransaction {
+        era: core.session.era().unwrap_or(0),
         conditions: vec![(PLACER_KEY.to_owned(), 0)],
         writes: vec![(
             PLACER_KEY.to_owned(),
-            Bytes::from(core.settings.id.to_string()),
+            Bytes::from(format!("{} {nonce}", core.settings.id)),
             Some(lease),
         )],
         deletions: Vec::new(),
@@ -243,7 +363,8 @@
     let deadline = Instant::now() + CALL_TIMEOUT;
     match core.backends.store.transact(transaction, deadline).await {
         Ok(version) => {
-            core.session.lock().order_authority.lock_acquired(version);
+            core.session.lock().acquire(version);
+            peer_exchange::announce_fence(core).await;
             core.log
                 .write(LogKind::Lease, json!({"placer": true, "fence": version}));
             Ok(())
@@ -260,6 +381,7 @@
     if let StoreError::LeaseExpired(_) = error {
         state.lease = None;
         state.order_authority.lease_expired();
+        state.lock_nonce = None;
         state.has_entry = false;
     }
     drop(state);
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -9,15 +9,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_lite::FutureExt;
+use jujuberoad::era::StoreEra;
 use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::backends::StoreEvent;
+use jujuberoad_node::backends::StoreEvents;
 use jujuberoad_node::backends::StoredRange;
 use jujuberoad_node::runtime;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 use smol::Timer;
+use strum::Display;
 
 use crate::gateway_core::GatewayCore;
 
@@ -31,14 +35,25 @@
 /// Delay after a failed call while other calls to the store succeed.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
+/// What a full read follows.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum ReadCause {
+    /// A start, or a watch that was interrupted.
+    Routine,
+    /// Failed calls for the prefix.
+    Outage,
+    /// A restore of the store from a copy: what is missing may have been lost.
+    Restore,
+}
+
 /// Applies the contents of a watched key prefix.
 pub(crate) trait PrefixSink: Send + Sync + 'static {
     /// Returns the key prefix.
     fn prefix(&self) -> String;
 
-    /// Replaces the state with a full read; `after_outage` is set if calls for this prefix
-    /// failed before it.
-    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, after_outage: bool);
+    /// Replaces the state with a full read.
+    fn replace(&self, core: &Arc<GatewayCore>, range: StoredRange, cause: ReadCause);
 
     /// Applies changes in order; afterwards the state reflects version `as_of`.
     fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, as_of: StoreVersion);
@@ -53,6 +68,8 @@
 /// Results of the recent calls for one prefix.
 #[derive(Default)]
 struct PrefixHealth {
+    /// Era of the last full read.
+    era: Option<StoreEra>,
     failures: u32,
     is_unavailable: bool,
     reason: String,
@@ -68,6 +85,9 @@
                 Ok(never) => match never {},
                 Err(error) => error,
             };
+            if let StoreError::EraChanged { .. } = error {
+                continue;
+            }
             if let StoreError::HistoryCompacted { .. } = error {
                 core.log.write(
                     LogKind::Dependency,
@@ -137,14 +157,20 @@
             json!({"on": "store", "prefix": prefix, "state": "back", "failures": health.failures}),
         );
     }
-    sink.replace(core, range, health.failures > 0);
+    let era = range.era;
+    let cause = match health.era {
+        Some(known) if known != era => ReadCause::Restore,
+        _ if health.failures > 0 => ReadCause::Outage,
+        _ => ReadCause::Routine,
+    };
+    sink.replace(core, range, cause);
     sink.set_unavailable(core, false);
-    *health = PrefixHealth::default();
+    *health = PrefixHealth {
+        era: Some(era),
+        ..PrefixHealth::default()
+    };
     loop {
-        let watch = core
-            .backends
-            .store
-            .watch_prefix(&prefix, as_of, WATCH_TIMEOUT_MS);
+        let watch = watch_in_era(core, &prefix, era, as_of);
         let answer = count_call(core, "watch", watch.await)?;
         as_of = answer.as_of.max(as_of);
         sink.apply(core, answer.events, as_of);
@@ -155,6 +181,26 @@
     }
 }
 
+/// Watches a prefix; fails as soon as any call shows that a new era of the store has begun.
+async fn watch_in_era(
+    core: &GatewayCore,
+    prefix: &str,
+    era: StoreEra,
+    after: StoreVersion,
+) -> Result<StoreEvents, StoreError> {
+    let store = &core.backends.store;
+    let restored = async {
+        store.eras().wait_beyond(era).await;
+        Err(StoreError::EraChanged {
+            key: prefix.to_owned(),
+            expected: era,
+            found: store.eras().newest(),
+        })
+    };
+    let watch = store.watch_prefix(prefix, era, after, WATCH_TIMEOUT_MS);
+    restored.or(watch).await
+}
+
 fn count_call<T>(
     core: &GatewayCore,
     call: &str,
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -1,11 +1,17 @@
 //! The local copy of the endpoint registry.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use super::EndpointRecord;
 use super::EngineReport;
 use crate::ids::EndpointId;
+use crate::ids::Incarnation;
+
+/// Number of endpoints that have left and are remembered. A copy of the registry is some
+/// seconds old, and a few dozen endpoints leave in that time.
+const MAX_DEPARTED: usize = 1_024;
 
 /// The known state of the registry, updated by watch events and full reads.
 ///
@@ -17,16 +23,36 @@
     records: BTreeMap<EndpointId, EndpointRecord>,
     missing_until: BTreeMap<EndpointId, Instant>,
     is_registry_unavailable: bool,
+    /// Last entries of endpoints that have left, oldest first.
+    departed: VecDeque<DepartedEntry>,
     /// Time until which entries of running endpoints may be missing.
     settles_at: Option<Instant>,
 }
 
+/// The last entry of an endpoint that has left.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct DepartedEntry {
+    id: EndpointId,
+    incarnation: Incarnation,
+    entry_writes: u64,
+}
+
 impl EndpointTable {
     /// Adds or replaces an endpoint.
     ///
     /// A report that the endpoint made after its entry was written takes precedence when
     /// the same entry is read again after a registry outage.
+    ///
+    /// An entry that was written before the known one is ignored. It comes from an older copy
+    /// of the registry, and the endpoint may have begun to drain since.
     pub fn upsert(&mut self, mut record: EndpointRecord) {
+        let is_older = self.records.get(&record.id).is_some_and(|known| {
+            known.incarnation == record.incarnation && record.entry_writes < known.entry_writes
+        });
+        if is_older {
+            self.missing_until.remove(&record.id);
+            return;
+        }
         self.missing_until.remove(&record.id);
         if let Some(old) = self.records.get(&record.id)
             && old.has_newer_report
@@ -48,12 +74,40 @@
                 self.missing_until.entry(id.into()).or_insert(until);
             }
             _ => {
-                self.records.remove(id);
                 self.missing_until.remove(id);
+                self.depart(id);
             }
         }
     }
 
+    /// Removes entries of endpoints that have left from a full read of a registry that was
+    /// restored from an older copy. An endpoint that runs writes a newer entry.
+    pub fn drop_departed(&self, records: &mut Vec<EndpointRecord>) {
+        records.retain(|record| {
+            let mut departed = self.departed.iter();
+            !departed.any(|entry| {
+                entry.id == record.id
+                    && entry.incarnation == record.incarnation
+                    && record.entry_writes <= entry.entry_writes
+            })
+        });
+    }
+
+    fn depart(&mut self, id: &str) -> bool {
+        let Some(record) = self.records.remove(id) else {
+            return false;
+        };
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+        self.departed.push_back(DepartedEntry {
+            id: record.id,
+            incarnation: record.incarnation,
+            entry_writes: record.entry_writes,
+        });
+        true
+    }
+
     /// Applies a full read. Endpoints absent from it are removed, immediately or at
     /// `keep_until`.
     pub fn replace_all(&mut self, records: Vec<EndpointRecord>, keep_until: Option<Instant>) {
@@ -83,7 +137,7 @@
             .collect();
         for id in ended {
             self.missing_until.remove(&id);
-            has_changed |= self.records.remove(&id).is_some();
+            has_changed |= self.depart(&id);
         }
         has_changed
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod claims;
 pub mod config;
+pub mod era;
 pub mod fleet;
 pub mod health;
 pub mod ids;
--- a/node/src/backends/store_error.rs
+++ b/node/src/backends/store_error.rs
@@ -1,5 +1,6 @@
 //! Error of a call to the platform's store.
 
+use jujuberoad::era::StoreEra;
 use jujuberoad::ids::StoreVersion;
 
 use super::CallError;
@@ -34,6 +35,16 @@
         /// Version after which changes were requested.
         after: StoreVersion,
     },
+    /// The store was restored from a copy since the state that the call refers to.
+    #[error("the answer for {key:?} is of era {found} of the store, expected {expected}")]
+    EraChanged {
+        /// Key, prefix or kind of object that the call was about.
+        key: String,
+        /// Era that the call refers to, or the newest one if the answer is older.
+        expected: StoreEra,
+        /// Era of the answer.
+        found: StoreEra,
+    },
     /// The lease is unknown or has expired.
     #[error("lease {0} is unknown or has expired")]
     LeaseExpired(u64),
--- a/node/src/backends/stored_range.rs
+++ b/node/src/backends/stored_range.rs
@@ -1,6 +1,7 @@
 //! Results of range reads and watches of the store.
 
 use bytes::Bytes;
+use jujuberoad::era::StoreEra;
 use jujuberoad::ids::StoreVersion;
 
 /// A key with its value and version.
@@ -17,6 +18,8 @@
 /// All items whose keys start with a prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoredRange {
+    /// Era of the store in which the items were read.
+    pub era: StoreEra,
     /// The items, ordered by key.
     pub items: Vec<StoredItem>,
     /// Version of the store after which to watch for changes.
