gateway, node: bound answers without end, keep slow streams, name every answer

Cause, each shown by a test that failed first: an event without its end was buffered for as long as the stream lived (232 MB read in 0.9 s); interim responses without end held a request to its deadline (504); an error answer of a stream was read without a limit; an answer that names no request was taken for the answer of the request that waited on the connection; a stream that paused for 0.9 s was cut even where no other endpoint could go on.

Ruled out: chunk extensions, trailers, heads and plain bodies were bounded already.

Change: limits on events (256 KiB), error answers (1 MiB), heads (128 KiB) and interim responses (16); an endpoint that exceeds one is avoided for a second; an answer must name its request; an idle stream is given up only if it may be resumed.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
@@ -129,7 +130,10 @@
                     .mark_unreachable_for(&reserved.target.endpoint, BUFFERED_UNREACHABLE_COOLDOWN);
                 return AttemptEnd::NotRun(error);
             }
-            Err(error) => return AttemptEnd::MayHaveRun(error),
+            Err(error) => {
+                self.avoid_if_flooding(reserved, &error);
+                return AttemptEnd::MayHaveRun(error);
+            }
         };
         let status = answer.response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -145,7 +149,15 @@
         let body = match timeout_at(self.request.deadline, read).await {
             Some(Ok(body)) => body.to_bytes(),
             Some(Err(error)) => {
-                return AttemptEnd::MayHaveRun(CallError::sent(CallStep::Read, address, error));
+                let is_too_long = error.is::<LengthLimitError>();
+                let step = if is_too_long {
+                    CallStep::Limit
+                } else {
+                    CallStep::Read
+                };
+                let error = CallError::sent(step, address, error);
+                self.avoid_if_flooding(reserved, &error);
+                return AttemptEnd::MayHaveRun(error);
             }
             None => {
                 let error = CallError::sent(CallStep::Read, address, "deadline passed");
@@ -156,6 +168,14 @@
         AttemptEnd::Answer(Box::new(response))
     }
 
+    /// Avoids an endpoint for a while that sent bytes without end in place of a response.
+    fn avoid_if_flooding(&self, reserved: &ReservedTarget, error: &CallError) {
+        if error.step == CallStep::Limit {
+            self.core
+                .mark_unreachable_for(&reserved.target.endpoint, BUFFERED_UNREACHABLE_COOLDOWN);
+        }
+    }
+
     /// Takes a retry from the budget if the request may be sent to another endpoint;
     /// returns whether it was taken.
     fn try_acquire_retry(&self, reason: &str, endpoint: &str) -> bool {
--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -26,7 +26,7 @@
 
 /// Sends `request` and awaits the response head until the request's deadline.
 ///
-/// A response with the id of another request, or a success without a signature, is
+/// A response without the id of this request, or a success without a signature, is
 /// an error, and its connection is closed.
 pub(crate) async fn send(
     core: &GatewayCore,
@@ -43,7 +43,9 @@
         .backends
         .dialect
         .read_response_head(response.status(), response.headers());
-    if head.request_id.as_ref().is_some_and(|id| *id != request.id) {
+    // Endpoints name the request in every response. One that names none may be a late copy of
+    // the response to an earlier request on the same connection.
+    if head.request_id.as_ref() != Some(&request.id) {
         let message = format!("response belongs to another request: {:?}", head.request_id);
         return Err(CallError::sent(CallStep::Decode, address, message));
     }
--- a/gateway/src/event_source.rs
+++ b/gateway/src/event_source.rs
@@ -12,6 +12,8 @@
     Events(Vec<WholeEvent>),
     /// The stream ended after a complete event.
     Ended,
+    /// No event has arrived for a while.
+    Idle,
     /// The stream was interrupted, with the reason.
     Lost(String),
 }
@@ -40,6 +42,9 @@
             if !events.is_empty() {
                 return SourceItem::Events(events);
             }
+            if self.splitter.is_oversized() {
+                return SourceItem::Lost("an event does not end".to_owned());
+            }
             match self.body.frame().await {
                 None if self.splitter.has_partial_event() => {
                     return SourceItem::Lost("stream ended in the middle of an event".to_owned());
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
@@ -42,6 +43,9 @@
 /// of two seconds.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(1_200);
 
+/// Largest error response that is buffered.
+const MAX_FAILURE_BYTES: usize = 1 << 20;
+
 /// One proxied streaming request with its attempts.
 pub(crate) struct StreamCall {
     pub(crate) core: Arc<GatewayCore>,
@@ -200,13 +204,15 @@
         }
     }
 
+    /// Returns whether the route allows the stream to be reopened at another endpoint.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.request.route.is_repeatable() && self.runs < self.request.route.max_attempts
+    }
+
     /// Takes a retry from the budget if the stream may be reopened at another endpoint;
     /// returns whether it was taken.
     pub(crate) fn try_acquire_retry(&self) -> bool {
-        self.request.route.is_repeatable()
-            && self.runs < self.request.route.max_attempts
-            && Instant::now() < self.request.deadline
-            && self.core.try_take_retry()
+        self.may_retry() && Instant::now() < self.request.deadline && self.core.try_take_retry()
     }
 
     /// Makes the next attempt precede requests that have not started, and limits its wait
@@ -270,6 +276,10 @@
         let first = match first {
             Some(Some(SourceItem::Events(events))) => Some(events),
             Some(Some(SourceItem::Ended)) => None,
+            Some(Some(SourceItem::Idle)) => {
+                let error = CallError::sent(CallStep::Read, address, "no event arrived in time");
+                return AttemptEnd::MayHaveRun(error);
+            }
             Some(Some(SourceItem::Lost(reason))) => {
                 return AttemptEnd::MayHaveRun(CallError::sent(CallStep::Read, address, reason));
             }
@@ -305,7 +315,8 @@
         let read_error = |reason: String| {
             AttemptEnd::MayHaveRun(CallError::sent(CallStep::Read, address, reason))
         };
-        match timeout_at(self.request.deadline, body.collect()).await {
+        let read = Limited::new(body, MAX_FAILURE_BYTES).collect();
+        match timeout_at(self.request.deadline, read).await {
             Some(Ok(body)) => {
                 let body = full_body(body.to_bytes());
                 AttemptEnd::Failure(Box::new(Response::from_parts(parts, body)))
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -96,17 +96,38 @@
                     self.end("answered", "complete");
                     return None;
                 }
+                // A slow stream may be sound, so it is given up only if it can go on elsewhere.
+                SourceItem::Idle if !self.may_resume() => {}
+                SourceItem::Idle => {
+                    if let Some(error) = self.resume_or_end("no event arrived in time").await {
+                        return Some(Err(error));
+                    }
+                }
                 SourceItem::Lost(reason) => {
-                    if let Err(reason) = self.resume(&reason).await {
-                        self.end("broken", &reason);
-                        return Some(Err(BodyError(reason)));
+                    if let Some(error) = self.resume_or_end(&reason).await {
+                        return Some(Err(error));
                     }
                 }
             }
         }
     }
 
+    /// Returns whether the stream may be resumed elsewhere now.
+    fn may_resume(&self) -> bool {
+        self.call.may_retry() && Instant::now() < self.call.request.deadline
+    }
+
+    /// Resumes the stream elsewhere, or ends it and returns the error for the caller.
+    async fn resume_or_end(&mut self, reason: &str) -> Option<BodyError> {
+        let reason = self.resume(reason).await.err()?;
+        self.end("broken", &reason);
+        Some(BodyError(reason))
+    }
+
     async fn next_item(&mut self) -> SourceItem {
+        if Instant::now() >= self.call.request.deadline {
+            return SourceItem::Lost("deadline passed".to_owned());
+        }
         let idle_deadline = Instant::now() + STREAM_IDLE_TIMEOUT;
         let deadline = self.call.request.deadline.min(idle_deadline);
         let lost_signal = self.guard.lost_signal.clone();
@@ -118,7 +139,7 @@
             SourceItem::Lost("the group fell silent".to_owned())
         };
         let item = timeout_at(deadline, source.next().or(signalled)).await;
-        item.unwrap_or_else(|| SourceItem::Lost("no event arrived in time".to_owned()))
+        item.unwrap_or(SourceItem::Idle)
     }
 
     /// Returns the bytes of the events that the caller has not received yet.
--- a/lib/src/routing/event_splitter.rs
+++ b/lib/src/routing/event_splitter.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Largest event that is buffered; events of models hold a few hundred bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// One complete event of a stream, with its bytes as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WholeEvent {
@@ -41,6 +44,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns whether the event that has begun is longer than any sound one.
+    pub fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     fn find_end(&mut self) -> Option<usize> {
         let start = self.searched.saturating_sub(3);
         let window = &self.buffer[start..];
--- a/node/src/backends/call_error.rs
+++ b/node/src/backends/call_error.rs
@@ -16,6 +16,8 @@
     Read,
     /// Interpreting the response: its status or its contents.
     Decode,
+    /// Keeping the response within its limits; the peer sends bytes that are no response.
+    Limit,
 }
 
 /// A failed call: the step, the peer and whether the request may have arrived.
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +20,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use jujuberoad::ids::Milliseconds;
+use smol::channel;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -38,6 +41,11 @@
 /// Maximum size of a response body that [`HttpPool::exchange`] buffers.
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
+/// Maximum size of a response head. Heads of endpoints hold a few hundred bytes.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+/// Maximum number of interim responses (1xx) before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Reuses connections that have been idle for a short time only.
 ///
 /// A peer may become unreachable without any error on its connections. A connection that
@@ -182,11 +190,24 @@
         self: &Arc<Self>,
         mut sender: SendRequest<Full<Bytes>>,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         head_deadline: Instant,
     ) -> Result<Response<PooledBody>, SendFailure> {
-        let Some(sent) = before_deadline(head_deadline, sender.try_send_request(request)).await
-        else {
+        let (limit, limit_reached) = channel::bounded::<()>(1);
+        let counted_limit = limit.clone();
+        let interim_count = AtomicUsize::new(0);
+        hyper::ext::on_informational(&mut request, move |_| {
+            if interim_count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                counted_limit.close();
+            }
+        });
+        let flooded = async {
+            // Nothing is ever sent; the channel is closed when the limit is reached.
+            let _ = limit_reached.recv().await;
+            None
+        };
+        let sent = async { Some(sender.try_send_request(request).await) };
+        let Some(sent) = before_deadline(head_deadline, sent.or(flooded)).await else {
             self.discard_idle(address);
             let error = CallError::sent(CallStep::Send, address, "deadline passed");
             return Err(SendFailure {
@@ -194,6 +215,14 @@
                 unsent: None,
             });
         };
+        drop(limit);
+        let Some(sent) = sent else {
+            let error = CallError::sent(CallStep::Limit, address, "too many interim responses");
+            return Err(SendFailure {
+                error,
+                unsent: None,
+            });
+        };
         match sent {
             Ok(response) => {
                 let pool = Arc::clone(self);
@@ -201,7 +230,12 @@
             }
             Err(mut failure) => {
                 let unsent = failure.take_message();
-                let error = CallError::sent(CallStep::Send, address, failure.error());
+                let step = if failure.error().is_parse_too_large() {
+                    CallStep::Limit
+                } else {
+                    CallStep::Send
+                };
+                let error = CallError::sent(step, address, failure.error());
                 Err(SendFailure { error, unsent })
             }
         }
@@ -220,7 +254,9 @@
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
         set_liveness_options(&stream)
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
         runtime::spawn(async move {
