lab: measure the time of a planning round

Change: `jujube-lab measure planner` runs rounds at 20, 200 and 1,000 VMs while groups are formed, in a stable fleet and with one VM in twenty lost.

--- a/lab/src/commands/measure.rs
+++ b/lab/src/commands/measure.rs
@@ -4,16 +4,18 @@
 use crate::measure::group_choice_bench;
 use crate::measure::overload_bench;
 use crate::measure::placement_bench;
+use crate::measure::planner_bench;
 use crate::measure::propagation_bench;
 use crate::measure::scaling_bench;
 use crate::measure::slot_bench;
 
 /// Names of the benchmarks.
-pub const BENCH_NAMES: [&str; 7] = [
+pub const BENCH_NAMES: [&str; 8] = [
     "choice",
     "fair",
     "overload",
     "placement",
+    "planner",
     "slopes",
     "slots",
     "spread",
@@ -26,6 +28,7 @@
         "fair" => Some(fair_queue_bench(seed)),
         "overload" => Some(overload_bench(seed)),
         "placement" => Some(placement_bench(seed)),
+        "planner" => Some(planner_bench(seed)),
         "slopes" => Some(scaling_bench()),
         "slots" => Some(slot_bench(seed)),
         "spread" => Some(propagation_bench(seed)),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -75,7 +75,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "measure")]
 struct MeasureArgs {
-    /// choice, fair, overload, placement, slopes, slots or spread
+    /// choice, fair, overload, placement, planner, slopes, slots or spread
     #[argh(positional)]
     name: String,
     /// seed of all random choices (default: 1)
