gateway: relay changes of the registry from the placer to its peers

Cause: each router watched the registry for itself. Load digests were valid for 0.6 s, while 118 routers send one every 0.64 s.

Change: the placer sends what its watch returns as deltas between versions; a router that lacks something in between asks the store itself, and watches for itself when nothing has come for its usual interval. Messages carry their age, and one that waited is not sent. They replace the engine reports that the placer sent for the same changes. A digest is valid for three intervals.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -31,6 +31,8 @@
 use jujuberoad_node::runtime::DecisionLog;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
+use smol::channel::Receiver;
+use smol::channel::Sender;
 
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
@@ -63,6 +65,8 @@
     pub(crate) pool: Arc<HttpPool>,
     pub(crate) peers: Arc<PeerSocket>,
     pub(crate) peer_addresses: Mutex<BTreeMap<RouterId, SocketAddr>>,
+    /// Requests to read the registry before the next watch is due.
+    pub(crate) registry_reads: (Sender<()>, Receiver<()>),
     /// Routers that are missing from the list since the store was restored.
     pub(crate) unconfirmed_routers: Mutex<BTreeSet<RouterId>>,
     pub(crate) loads: Mutex<LoadTable>,
@@ -204,6 +208,17 @@
         }
     }
 
+    /// Requests that the registry is read from the store, because relayed changes are missing.
+    pub(crate) fn request_registry_read(&self) {
+        // A full channel holds a request already.
+        let _ = self.registry_reads.0.try_send(());
+    }
+
+    /// Returns whether a read of the registry was requested, and clears the request.
+    pub(crate) fn take_registry_read_request(&self) -> bool {
+        self.registry_reads.1.try_recv().is_ok()
+    }
+
     /// Returns the fencing token under which orders may be sent now, if any.
     pub(crate) fn order_fence(&self) -> Option<Fence> {
         self.session
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -180,6 +180,7 @@
         pool: HttpPool::with_connect_timeout(CONNECT_TIMEOUT_MS),
         peers,
         peer_addresses: Mutex::default(),
+        registry_reads: smol::channel::bounded(1),
         unconfirmed_routers: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
         first_events: Mutex::default(),
--- a/gateway/src/lock_sink.rs
+++ b/gateway/src/lock_sink.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad_node::backends::StoreEvent;
 use jujuberoad_node::backends::StoredItem;
@@ -23,6 +24,7 @@
     }
 }
 
+#[async_trait]
 impl PrefixSink for LockSink {
     fn prefix(&self) -> String {
         PLACER_KEY.to_owned()
--- a/gateway/src/operator_sink.rs
+++ b/gateway/src/operator_sink.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad::ids::ZoneId;
 use jujuberoad_node::backends::StoreEvent;
@@ -65,6 +66,7 @@
     }
 }
 
+#[async_trait]
 impl PrefixSink for OperatorSink {
     fn prefix(&self) -> String {
         self.prefix.clone()
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use jujuberoad::fleet::DeltaStep;
 use jujuberoad::fleet::EngineReport;
 use jujuberoad::fleet::GroupKey;
+use jujuberoad::fleet::RegistryDelta;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::Fence;
+use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::RouterId;
-use jujuberoad::ids::StoreVersion;
 use jujuberoad::peer::PeerFrame;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad_node::peer::PeerHandler;
@@ -21,7 +23,9 @@
 use serde_json::json;
 use smol::Timer;
 
+use crate::boot_clock;
 use crate::gateway_core::GatewayCore;
+use crate::registry_sink;
 use crate::stall_probe;
 use crate::stall_probe::ProbeCause;
 
@@ -30,13 +34,16 @@
 /// Added to the interval for each peer, so that the message rate of a router stays
 /// bounded as the fleet grows.
 const DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_millis(5);
-/// Time for which a peer's digest is valid; it spans several digests, because datagrams
-/// may be lost.
-const DIGEST_LIFETIME: Duration = Duration::from_millis(600);
+/// Shortest time for which a peer's digest is valid.
+const MIN_DIGEST_LIFETIME: Duration = Duration::from_millis(600);
+/// Number of digests in the time for which one is valid, because datagrams may be lost.
+const DIGESTS_PER_LIFETIME: u32 = 3;
 
 /// Time for which a group is avoided because of a peer's message; by then the registry
 /// or the placer has reported its state.
 const PEER_REPORT_COOLDOWN: Duration = Duration::from_millis(2_000);
+/// Age at which changes of the registry are no longer relayed.
+const MAX_RELAY_AGE: Duration = Duration::from_millis(300);
 /// Maximum reports per message, so that it fits in a datagram.
 const REPORTS_PER_MESSAGE: usize = 20;
 
@@ -53,11 +60,7 @@
     runtime::spawn(Arc::clone(&core.peers).run(handler));
     runtime::spawn(async move {
         loop {
-            let peers = {
-                let addresses = core.peer_addresses.lock().expect("peer lock");
-                addresses.len() as u32
-            };
-            Timer::after(DIGEST_INTERVAL + DIGEST_INTERVAL_PER_PEER * peers).await;
+            Timer::after(digest_interval(&core)).await;
             let loads = {
                 let mut loads = core.loads.lock().expect("load lock");
                 loads.expire(Instant::now());
@@ -72,12 +75,42 @@
     });
 }
 
+/// Returns the time between load digests, which grows with the number of peers.
+fn digest_interval(core: &GatewayCore) -> Duration {
+    let peers = {
+        let addresses = core.peer_addresses.lock().expect("peer lock");
+        addresses.len() as u32
+    };
+    DIGEST_INTERVAL + DIGEST_INTERVAL_PER_PEER * peers
+}
+
+/// Relays changes of the registry to all peers if this router is the placer.
+pub(crate) fn relay_changes(core: &Arc<GatewayCore>, deltas: Vec<RegistryDelta>) {
+    let era = core.backends.store.eras().newest();
+    let Some(fence) = core.session.announced_fence(era) else {
+        return;
+    };
+    let received_at = boot_clock::now();
+    let core = Arc::clone(core);
+    runtime::spawn(async move {
+        for delta in deltas {
+            // A process that was suspended since must not confirm what it knew before.
+            let age = boot_clock::now().saturating_sub(received_at);
+            if age >= MAX_RELAY_AGE {
+                return;
+            }
+            let message = PeerMessage::RegistryDelta {
+                placer: fence,
+                age_ms: age.as_millis() as Milliseconds,
+                delta,
+            };
+            broadcast(&core, message).await;
+        }
+    });
+}
+
 /// Sends engine reports to all peers if this router is the placer.
-pub(crate) fn broadcast_reports(
-    core: &Arc<GatewayCore>,
-    as_of: Option<StoreVersion>,
-    updates: Vec<(EndpointId, EngineReport)>,
-) {
+pub(crate) fn broadcast_reports(core: &Arc<GatewayCore>, updates: Vec<(EndpointId, EngineReport)>) {
     let Some(fence) = core.order_fence() else {
         return;
     };
@@ -89,7 +122,6 @@
         for reports in updates.chunks(REPORTS_PER_MESSAGE) {
             let message = PeerMessage::EngineReports {
                 placer: fence,
-                as_of,
                 reports: reports.to_vec(),
             };
             broadcast(&core, message).await;
@@ -106,7 +138,6 @@
     };
     let message = PeerMessage::EngineReports {
         placer,
-        as_of: None,
         reports: Vec::new(),
     };
     broadcast(core, message).await;
@@ -169,26 +200,35 @@
 }
 
 impl PeerReceiver {
-    /// Applies engine reports of the placer, which it read from the registry at version
-    /// `as_of` or, if that is `None`, from engines during a registry outage.
-    fn apply_engine_reports(
-        &self,
-        as_of: Option<StoreVersion>,
-        reports: Vec<(EndpointId, EngineReport)>,
-    ) {
-        let fleet = &self.core.fleet;
-        let known = fleet.view().registry_version;
+    /// Applies reports that the placer polled from engines during a registry outage.
+    fn apply_engine_reports(&self, reports: Vec<(EndpointId, EngineReport)>) {
         for (endpoint, report) in reports {
-            match as_of {
-                Some(version) if version > known => fleet.apply_peer_report(&endpoint, report),
-                Some(_) => continue,
-                None => {
-                    fleet.apply_report(&endpoint, report);
-                }
-            }
+            self.core.fleet.apply_report(&endpoint, report);
         }
         self.core.queue.wake_all();
     }
+
+    /// Applies changes of the registry that the placer has read. If changes before them are
+    /// missing, this router asks the store.
+    fn apply_registry_delta(&self, delta: RegistryDelta, age: Duration) {
+        let core = &self.core;
+        let known = core.fleet.view().registry_version;
+        match delta.step(known) {
+            DeltaStep::Outdated => {}
+            DeltaStep::Gap => core.request_registry_read(),
+            DeltaStep::Apply => {
+                let now = Instant::now();
+                let as_of = delta.to;
+                let changes: Vec<_> = delta
+                    .changes_after(known)
+                    .map(|change| (change.endpoint.clone(), change.into_record(now)))
+                    .collect();
+                // The state is as old as the message.
+                let confirmed_at = now.checked_sub(age).unwrap_or(now);
+                registry_sink::apply_changes(core, changes, as_of, confirmed_at);
+            }
+        }
+    }
 }
 
 impl PeerHandler for PeerReceiver {
@@ -200,15 +240,21 @@
                 }
                 let now = Instant::now();
                 let mut table = self.core.loads.lock().expect("load lock");
-                table.observe_peer(frame.sender, loads, now, now + DIGEST_LIFETIME);
+                let lifetime = digest_interval(&self.core) * DIGESTS_PER_LIFETIME;
+                let valid_until = now + lifetime.max(MIN_DIGEST_LIFETIME);
+                table.observe_peer(frame.sender, loads, now, valid_until);
+            }
+            PeerMessage::EngineReports { placer, reports } => {
+                self.core.session.observe_peer_fence(placer);
+                self.apply_engine_reports(reports);
             }
-            PeerMessage::EngineReports {
+            PeerMessage::RegistryDelta {
                 placer,
-                as_of,
-                reports,
+                age_ms,
+                delta,
             } => {
                 self.core.session.observe_peer_fence(placer);
-                self.apply_engine_reports(as_of, reports);
+                self.apply_registry_delta(delta, Duration::from_millis(age_ms));
             }
             PeerMessage::Handover { fence } => self.take_over(fence, &frame.sender),
             PeerMessage::GroupFailure {
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -6,7 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
+use futures_lite::FutureExt;
 use jujuberoad::fleet::EndpointRecord;
+use jujuberoad::fleet::RegistryChange;
+use jujuberoad::fleet::RegistryDelta;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad_node::backends::StoreEvent;
@@ -86,6 +90,7 @@
     }
 }
 
+#[async_trait]
 impl PrefixSink for RegistrySink {
     fn prefix(&self) -> String {
         self.prefix.clone()
@@ -127,42 +132,30 @@
 
     fn apply(&self, core: &Arc<GatewayCore>, events: Vec<StoreEvent>, as_of: StoreVersion) {
         let now = Instant::now();
+        let known = core.fleet.view().registry_version;
         let mut changes = Vec::new();
         for event in events {
-            match event {
-                StoreEvent::Written(item) => {
-                    // An entry that cannot be decoded removes the endpoint's previous record.
-                    let Some(id) = core.backends.dialect.endpoint_of_key(&item.key) else {
-                        continue;
-                    };
-                    changes.push((id, self.decode(core, &item)));
-                }
-                StoreEvent::Deleted { key, .. } => {
-                    if let Some(id) = core.backends.dialect.endpoint_of_key(&key) {
-                        changes.push((id, None));
-                    }
-                }
+            // A peer may have relayed the change already.
+            if event.version() <= known {
+                continue;
             }
-        }
-        let mut updates = Vec::new();
-        for (id, record) in &changes {
-            let has_moved = self.record_change(core, id, record.as_ref(), as_of);
-            if let Some(record) = record.as_ref().filter(|_| has_moved) {
-                updates.push((id.clone(), record.report()));
+            let version = event.version();
+            let (key, record) = match event {
+                // An entry that cannot be decoded removes the endpoint's previous record.
+                StoreEvent::Written(item) => (item.key.clone(), self.decode(core, &item)),
+                StoreEvent::Deleted { key, .. } => (key, None),
+            };
+            if let Some(id) = core.backends.dialect.endpoint_of_key(&key) {
+                changes.push(RegistryChange::new(version, id, record, now));
             }
         }
-        peer_exchange::broadcast_reports(core, Some(as_of), updates);
-        core.fleet.update_registry(as_of, now, |table| {
-            let has_changed = !changes.is_empty();
-            for (id, record) in changes {
-                match record {
-                    Some(record) => table.upsert(record),
-                    None => table.remove(&id, None),
-                }
-            }
-            has_changed
-        });
-        core.queue.wake_all();
+        if as_of > known {
+            let deltas = RegistryDelta::split(known, as_of, changes.clone());
+            peer_exchange::relay_changes(core, deltas);
+        }
+        let changes = changes.into_iter();
+        let changes = changes.map(|change| (change.endpoint.clone(), change.into_record(now)));
+        apply_changes(core, changes.collect(), as_of.max(known), now);
     }
 
     fn set_unavailable(&self, core: &GatewayCore, is_unavailable: bool) {
@@ -171,6 +164,26 @@
         core.fleet.set_registry_unavailable(is_unavailable);
     }
 
+    async fn wait(&self, core: &GatewayCore, _as_of: StoreVersion) -> StoreVersion {
+        // Relayed changes postpone the next watch.
+        loop {
+            let view = core.fleet.view();
+            let confirmed_at = view.registry_confirmed_at.unwrap_or_else(Instant::now);
+            let due_at = confirmed_at + self.watch_interval(core);
+            if Instant::now() >= due_at || core.take_registry_read_request() {
+                return core.fleet.view().registry_version;
+            }
+            let due = async {
+                Timer::at(due_at).await;
+            };
+            let requested = async {
+                let _ = core.registry_reads.1.recv().await;
+                core.request_registry_read();
+            };
+            due.or(requested).await;
+        }
+    }
+
     fn watch_interval(&self, core: &GatewayCore) -> Duration {
         if core.is_forming_groups.load(Ordering::Relaxed) {
             FORMING_INTERVAL
@@ -185,40 +198,57 @@
     }
 }
 
-impl RegistrySink {
-    /// Logs a relevant change and stops avoiding the changed endpoint; returns whether its
-    /// group membership has changed.
-    fn record_change(
-        &self,
-        core: &GatewayCore,
-        id: &EndpointId,
-        record: Option<&EndpointRecord>,
-        as_of: StoreVersion,
-    ) -> bool {
-        let old = core.fleet.endpoint(id);
-        let old_membership = old.as_ref().and_then(|old| old.membership.clone());
-        let new_membership = record.and_then(|record| record.membership.clone());
-        let is_unchanged = old.as_ref().map(|old| (old.state, old.incarnation))
-            == record.map(|record| (record.state, record.incarnation));
-        let has_moved = old_membership != new_membership;
-        if is_unchanged && !has_moved {
-            return false;
+/// Applies changes of registry entries that the store has confirmed at `confirmed_at`.
+pub(crate) fn apply_changes(
+    core: &Arc<GatewayCore>,
+    changes: Vec<(EndpointId, Option<EndpointRecord>)>,
+    as_of: StoreVersion,
+    confirmed_at: Instant,
+) {
+    for (id, record) in &changes {
+        record_change(core, id, record.as_ref(), as_of);
+    }
+    core.fleet.update_registry(as_of, confirmed_at, |table| {
+        let has_changed = !changes.is_empty();
+        for (id, record) in changes {
+            match record {
+                Some(record) => table.upsert(record),
+                None => table.remove(&id, None),
+            }
         }
-        core.clear_unreachable(id);
-        core.log.write(
-            LogKind::Endpoint,
-            json!({
-                "endpoint": id,
-                "version": as_of,
-                "state": record.map_or("gone".to_owned(), |record| record.state.to_string()),
-                "group": new_membership.as_ref().map(|group| group.key.to_string()),
-                "member": new_membership.as_ref().map(|group| group.state.to_string()),
-                "zone": record.map(|record| &record.zone),
-                "domain": record.map(|record| &record.domain),
-                "staged": record.map(|record| &record.staged),
-                "was_group": old_membership.as_ref().map(|group| group.key.to_string()),
-            }),
-        );
-        has_moved
+        has_changed
+    });
+    core.queue.wake_all();
+}
+
+/// Logs a relevant change and stops avoiding the changed endpoint.
+fn record_change(
+    core: &GatewayCore,
+    id: &EndpointId,
+    record: Option<&EndpointRecord>,
+    as_of: StoreVersion,
+) {
+    let old = core.fleet.endpoint(id);
+    let old_membership = old.as_ref().and_then(|old| old.membership.clone());
+    let new_membership = record.and_then(|record| record.membership.clone());
+    let is_unchanged = old.as_ref().map(|old| (old.state, old.incarnation))
+        == record.map(|record| (record.state, record.incarnation));
+    if is_unchanged && old_membership == new_membership {
+        return;
     }
+    core.clear_unreachable(id);
+    core.log.write(
+        LogKind::Endpoint,
+        json!({
+            "endpoint": id,
+            "version": as_of,
+            "state": record.map_or("gone".to_owned(), |record| record.state.to_string()),
+            "group": new_membership.as_ref().map(|group| group.key.to_string()),
+            "member": new_membership.as_ref().map(|group| group.state.to_string()),
+            "zone": record.map(|record| &record.zone),
+            "domain": record.map(|record| &record.domain),
+            "staged": record.map(|record| &record.staged),
+            "was_group": old_membership.as_ref().map(|group| group.key.to_string()),
+        }),
+    );
 }
--- a/gateway/src/report_poll.rs
+++ b/gateway/src/report_poll.rs
@@ -100,7 +100,7 @@
         return;
     }
     core.queue.wake_all();
-    peer_exchange::broadcast_reports(core, None, updates);
+    peer_exchange::broadcast_reports(core, updates);
 }
 
 /// Returns all engines, each with whether it is outside serving groups.
--- a/gateway/src/router_sink.rs
+++ b/gateway/src/router_sink.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad_node::backends::StoreEvent;
@@ -91,6 +92,7 @@
     }
 }
 
+#[async_trait]
 impl PrefixSink for RouterSink {
     fn prefix(&self) -> String {
         ROUTER_PREFIX.to_owned()
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_trait::async_trait;
 use futures_lite::FutureExt;
 use jujuberoad::era::StoreEra;
 use jujuberoad::ids::Milliseconds;
@@ -48,6 +49,7 @@
 }
 
 /// Applies the contents of a watched key prefix.
+#[async_trait]
 pub(crate) trait PrefixSink: Send + Sync + 'static {
     /// Returns the key prefix.
     fn prefix(&self) -> String;
@@ -63,6 +65,16 @@
 
     /// Returns the delay between watches.
     fn watch_interval(&self, core: &GatewayCore) -> Duration;
+
+    /// Waits until the next watch is due; returns the version after which it starts. The
+    /// state reflects version `as_of` or, if other routers relay changes, a newer one.
+    async fn wait(&self, core: &GatewayCore, as_of: StoreVersion) -> StoreVersion {
+        let watch_interval = self.watch_interval(core);
+        if !watch_interval.is_zero() {
+            Timer::after(watch_interval).await;
+        }
+        as_of
+    }
 }
 
 /// Results of the recent calls for one prefix.
@@ -174,10 +186,7 @@
         let answer = count_call(core, "watch", watch.await)?;
         as_of = answer.as_of.max(as_of);
         sink.apply(core, answer.events, as_of);
-        let watch_interval = sink.watch_interval(core);
-        if !watch_interval.is_zero() {
-            Timer::after(watch_interval).await;
-        }
+        as_of = sink.wait(core, as_of).await.max(as_of);
     }
 }
 
--- a/lib/src/fleet/endpoint_record.rs
+++ b/lib/src/fleet/endpoint_record.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use super::EndpointState;
@@ -16,7 +18,7 @@
 use crate::ids::ZoneId;
 
 /// One registered endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Name of the endpoint; usually changes with each start.
     pub id: EndpointId,
@@ -35,6 +37,7 @@
     /// Whether it accepts requests.
     pub state: EndpointState,
     /// Time until which its request rate is limited after a start.
+    #[serde(skip)]
     pub cold_until: Option<Instant>,
     /// Membership in the group that it has joined.
     pub membership: Option<GroupMembership>,
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -9,11 +9,11 @@
 use crate::fleet::EndpointLoad;
 use crate::fleet::EngineReport;
 use crate::fleet::GroupKey;
+use crate::fleet::RegistryDelta;
 use crate::ids::EndpointId;
 use crate::ids::Fence;
 use crate::ids::Milliseconds;
 use crate::ids::Nonce;
-use crate::ids::StoreVersion;
 use crate::membership::ConfirmedVersion;
 use crate::membership::PeerVote;
 use crate::slots::SlotGrant;
@@ -78,14 +78,19 @@
         /// Fencing token under which the sender forms groups, if it does.
         placer: Option<Fence>,
     },
-    /// Distributes engine reports before the registry publishes them, or in its
-    /// place while it is unavailable.
+    /// Relays changes of the registry that the sender has read from the store.
+    RegistryDelta {
+        /// Fencing token under which the sender forms groups.
+        placer: Fence,
+        /// Time since the store sent the changes.
+        age_ms: Milliseconds,
+        /// The changes.
+        delta: RegistryDelta,
+    },
+    /// Distributes engine reports in place of the registry while it is unavailable.
     EngineReports {
         /// Fencing token under which the sender forms groups.
         placer: Fence,
-        /// Store version that the reports come from; `None` while the store is
-        /// unavailable.
-        as_of: Option<StoreVersion>,
         /// Reports by engine.
         reports: Vec<(EndpointId, EngineReport)>,
     },
--- a/node/src/backends/stored_range.rs
+++ b/node/src/backends/stored_range.rs
@@ -40,6 +40,16 @@
     },
 }
 
+impl StoreEvent {
+    /// Returns the version of the change.
+    pub fn version(&self) -> StoreVersion {
+        match self {
+            Self::Written(item) => item.version,
+            Self::Deleted { version, .. } => *version,
+        }
+    }
+}
+
 /// Changes below a prefix, in order of version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreEvents {
