fleet, gateway: wait for registration, follow groups over gaps, fewer changes of models

Change: planning waits up to 6 s; members are followed over gaps; the counter decides only in a full read of a restored registry; weights change only below three quarters of the coverage.

--- a/gateway/src/fleet_cache.rs
+++ b/gateway/src/fleet_cache.rs
@@ -139,6 +139,14 @@
         has_changed
     }
 
+    /// Applies a report that a peer read from a newer version of the registry.
+    pub(crate) fn apply_peer_report(&self, id: &EndpointId, report: EngineReport) {
+        let mut state = self.state.lock().expect("fleet cache lock");
+        if state.table.apply_peer_report(id, report) {
+            state.rebuild_targets();
+        }
+    }
+
     /// Records whether the registry is currently unreadable.
     pub(crate) fn set_registry_unavailable(&self, is_unavailable: bool) {
         let mut state = self.state.lock().expect("fleet cache lock");
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -215,7 +215,17 @@
         let known = core.fleet.view().registry_version;
         match delta.step(known) {
             DeltaStep::Outdated => {}
-            DeltaStep::Gap => core.request_registry_read(),
+            DeltaStep::Gap => {
+                // The store may be out of reach of this router alone. Until it has read what
+                // is missing, it follows the groups as far as it knows their members.
+                for change in delta.changes {
+                    if let Some(record) = change.record {
+                        core.fleet.apply_peer_report(&record.id, record.report());
+                    }
+                }
+                core.queue.wake_all();
+                core.request_registry_read();
+            }
             DeltaStep::Apply => {
                 let now = Instant::now();
                 let as_of = delta.to;
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -111,9 +111,10 @@
                 table.set_settles_at(now + SETTLE_TIME);
             }
             if cause == ReadCause::Restore {
-                table.drop_departed(&mut records);
+                table.replace_restored(records, now + ENTRY_GRACE);
+            } else {
+                table.replace_all(records, keep_until);
             }
-            table.replace_all(records, keep_until);
             true
         });
         if is_unsettled {
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use super::EndpointRecord;
+use super::EndpointState;
 use super::EngineReport;
 use crate::ids::EndpointId;
 use crate::ids::Incarnation;
@@ -42,17 +43,7 @@
     ///
     /// A report that the endpoint made after its entry was written takes precedence when
     /// the same entry is read again after a registry outage.
-    ///
-    /// An entry that was written before the known one is ignored. It comes from an older copy
-    /// of the registry, and the endpoint may have begun to drain since.
     pub fn upsert(&mut self, mut record: EndpointRecord) {
-        let is_older = self.records.get(&record.id).is_some_and(|known| {
-            known.incarnation == record.incarnation && record.entry_writes < known.entry_writes
-        });
-        if is_older {
-            self.missing_until.remove(&record.id);
-            return;
-        }
         self.missing_until.remove(&record.id);
         if let Some(old) = self.records.get(&record.id)
             && old.has_newer_report
@@ -80,17 +71,30 @@
         }
     }
 
-    /// Removes entries of endpoints that have left from a full read of a registry that was
-    /// restored from an older copy. An endpoint that runs writes a newer entry.
-    pub fn drop_departed(&self, records: &mut Vec<EndpointRecord>) {
-        records.retain(|record| {
-            let mut departed = self.departed.iter();
-            !departed.any(|entry| {
-                entry.id == record.id
-                    && entry.incarnation == record.incarnation
-                    && record.entry_writes <= entry.entry_writes
-            })
-        });
+    /// Applies a full read of a registry that was restored from an older copy. Endpoints that
+    /// began to drain or left after the copy was taken stay so until they write their entries
+    /// again; endpoints absent from the copy are removed at `keep_until`.
+    pub fn replace_restored(&mut self, mut records: Vec<EndpointRecord>, keep_until: Instant) {
+        records.retain(|record| !self.has_departed(record));
+        for record in &mut records {
+            let known = self.records.get(&record.id);
+            let is_draining = known.is_some_and(|known| {
+                known.incarnation == record.incarnation && known.state == EndpointState::Draining
+            });
+            if is_draining {
+                record.state = EndpointState::Draining;
+            }
+        }
+        self.replace_all(records, Some(keep_until));
+    }
+
+    fn has_departed(&self, record: &EndpointRecord) -> bool {
+        let mut departed = self.departed.iter();
+        departed.any(|entry| {
+            entry.id == record.id
+                && entry.incarnation == record.incarnation
+                && record.entry_writes <= entry.entry_writes
+        })
     }
 
     fn depart(&mut self, id: &str) -> bool {
--- a/lib/src/fleet/replica_planner/fleet_layout.rs
+++ b/lib/src/fleet/replica_planner/fleet_layout.rs
@@ -22,8 +22,8 @@
 /// VMs register some tens a second.
 const REGISTRATION_QUIET_TIME: Duration = Duration::from_millis(400);
 /// Time after which groups are planned at the first start although VMs still register. Loads
-/// and joins take about 3 s then, so that groups are open before traffic starts.
-const MAX_REGISTRATION_TIME: Duration = Duration::from_millis(3_000);
+/// and joins take about 3 s then, and traffic starts 10 s or more after the VMs do.
+const MAX_REGISTRATION_TIME: Duration = Duration::from_millis(6_000);
 
 /// Planned and present groups of a service.
 #[derive(Clone, Debug, Default)]
--- a/lib/src/fleet/replica_planner/stage_weights.rs
+++ b/lib/src/fleet/replica_planner/stage_weights.rs
@@ -20,6 +20,10 @@
 /// other members of its next group may be about to leave theirs.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// A VM with weights loads those of another model only if that one has less than this share
+/// of the capacity of its own, relative to their shares of the work.
+const MAX_COVERAGE_RATIO: f64 = 0.75;
+
 /// Added to the urgency of models that have their planned number of groups.
 const SUFFICIENT_RANK: f64 = 100.0;
 
@@ -142,8 +146,12 @@
         let mut candidates = Vec::new();
         let profiles = pool.engine.models.iter();
         let coverage_sum: f64 = profiles.map(|profile| layout.coverage(profile)).sum();
-        for (_, records) in partition_by_domain(&pool.free) {
-            let best = pool.engine.models.iter().map(|profile| {
+        for (domain, records) in partition_by_domain(&pool.free) {
+            let useful = pool.engine.models.iter().filter(|profile| {
+                let is_planned = layout.planned_in(&profile.model, &domain) > 0;
+                is_planned || records.len() >= profile.vms_per_group
+            });
+            let best = useful.map(|profile| {
                 let missing = self.missing_member_count(&records, profile, input);
                 let missing_share = missing as f64 / profile.vms_per_group.max(1) as f64;
                 // Without any group, the model is as urgent as possible.
@@ -167,7 +175,9 @@
                 }
                 let is_empty = record.staged.is_empty();
                 let is_idle = self.is_free_for(record, MIN_IDLE_TIME, input);
-                if !is_empty && (!has_enough || !is_idle || idle_count == 0) {
+                let is_spent = has_enough && is_idle && idle_count > 0;
+                if !is_empty && !(is_spent && self.is_better_covered(layout, record, profile, pool))
+                {
                     continue;
                 }
                 idle_count = idle_count.saturating_sub(1);
@@ -181,6 +191,21 @@
         candidates
     }
 
+    /// Returns whether the model that a VM could join a group of has so much more capacity
+    /// than `profile` that the VM is better used for the latter.
+    fn is_better_covered(
+        &self,
+        layout: &FleetLayout,
+        record: &EndpointRecord,
+        profile: &ModelProfile,
+        pool: &ServicePool<'_>,
+    ) -> bool {
+        let own = self.loaded_model(record).or(record.staged.first());
+        let mut profiles = pool.engine.models.iter();
+        let own = profiles.find(|known| Some(&known.model) == own);
+        own.is_none_or(|own| layout.coverage(profile) < MAX_COVERAGE_RATIO * layout.coverage(own))
+    }
+
     /// Returns how many members the next group of a model still needs in a domain.
     fn missing_member_count(
         &self,
