--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -29,6 +29,7 @@
 use smol::net::TcpListener;
 
 use crate::caller_api::CallerApi;
+use crate::era_watch;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
 use crate::gateway_core::GatewayCore;
@@ -215,7 +216,7 @@
     store_watch::follow(Arc::clone(core), LockSink);
     store_watch::follow(Arc::clone(core), RouterSink);
     store_session::start(Arc::clone(core));
-    store_session::follow_eras(Arc::clone(core));
+    era_watch::start(Arc::clone(core));
     placer_loop::start(Arc::clone(core));
     stall_probe::start(Arc::clone(core));
     peer_exchange::start(Arc::clone(core));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller_api;
 mod caller_request;
 mod endpoint_call;
+mod era_watch;
 mod event_source;
 mod fleet_cache;
 mod gateway_backends;
--- a/gateway/src/store_session.rs
+++ b/gateway/src/store_session.rs
@@ -33,7 +33,7 @@
 /// Lease TTL; a standby takes over this long after the placer is killed.
 const LEASE_TTL_MS: Milliseconds = 2_000;
 /// Interval between renewals; three fit in a lease.
-const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+pub(crate) const RENEW_INTERVAL: Duration = Duration::from_millis(600);
 /// Number of copies sent of a handover message, because datagrams may be lost.
 const HANDOVER_SENDS: u32 = 3;
 /// Time between acquiring the lock in an era that a restore of the store has begun and the
@@ -94,7 +94,7 @@
 
     /// Forgets what an older era of the store has granted. A lease, a lock or an entry of
     /// that era may reappear in the restored copy, but gives no authority.
-    fn begin_era(&self, era: StoreEra) {
+    pub(crate) fn begin_era(&self, era: StoreEra) {
         let mut state = self.lock();
         let mut order_authority = std::mem::take(&mut state.order_authority);
         order_authority.era_begun(era);
@@ -118,7 +118,8 @@
         newest
     }
 
-    fn era(&self) -> Option<StoreEra> {
+    /// Returns the era of the session, once the store has shown one.
+    pub(crate) fn era(&self) -> Option<StoreEra> {
         self.lock().era
     }
 
@@ -193,29 +194,6 @@
     held == Some(nonce.to_string().as_str())
 }
 
-/// Starts the task that begins a new era of the session when the store was restored.
-pub(crate) fn follow_eras(core: Arc<GatewayCore>) {
-    runtime::spawn(async move {
-        loop {
-            let Some(known) = core.session.era() else {
-                Timer::after(RENEW_INTERVAL).await;
-                continue;
-            };
-            core.backends.store.eras().wait_beyond(known).await;
-            let era = core.backends.store.eras().newest();
-            core.session.begin_era(era);
-            core.metrics.store_eras.inc();
-            core.log.write(
-                LogKind::Dependency,
-                json!({"on": "store", "state": "new era", "era": era, "was": known}),
-            );
-            if let Err(error) = renew_session(&core).await {
-                handle_failure(&core, &error);
-            }
-        }
-    });
-}
-
 /// Starts the loop that opens and renews the lease and acquires the lock when it is free.
 pub(crate) fn start(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
@@ -291,7 +269,8 @@
     );
 }
 
-async fn renew_session(core: &GatewayCore) -> Result<(), StoreError> {
+/// Opens or renews the lease, registers this router and acquires a free lock.
+pub(crate) async fn renew_session(core: &GatewayCore) -> Result<(), StoreError> {
     let deadline = Instant::now() + CALL_TIMEOUT;
     let called_at = boot_clock::now();
     let ttl_ms = LEASE_TTL_MS.max(core.settings.shortest_lease_ms);
@@ -375,7 +354,8 @@
     }
 }
 
-fn handle_failure(core: &GatewayCore, error: &StoreError) {
+/// Logs a failed call of the session; an expired lease ends what belonged to it.
+pub(crate) fn handle_failure(core: &GatewayCore, error: &StoreError) {
     let mut state = core.session.lock();
     let had_authority = state.order_authority.fence().is_some();
     if let StoreError::LeaseExpired(_) = error {
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod avoid_list;
 mod cold_start_limiter;
+mod delta_step;
 mod endpoint_record;
 mod endpoint_state;
 mod endpoint_table;
@@ -24,6 +25,7 @@
 mod planner_input;
 mod probe_backoff;
 mod quota_divider;
+mod registry_change;
 mod registry_delta;
 mod replica_order;
 mod replica_planner;
@@ -35,6 +37,7 @@
 
 pub use avoid_list::AvoidList;
 pub use cold_start_limiter::ColdStartLimiter;
+pub use delta_step::DeltaStep;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
@@ -57,8 +60,7 @@
 pub use planner_input::PlannerInput;
 pub use probe_backoff::ProbeBackoff;
 pub use quota_divider::QuotaDivider;
-pub use registry_delta::DeltaStep;
-pub use registry_delta::RegistryChange;
+pub use registry_change::RegistryChange;
 pub use registry_delta::RegistryDelta;
 pub use replica_order::ReplicaOrder;
 pub use replica_planner::ReplicaPlanner;
--- a/lib/src/fleet/packing/group_packing.rs
+++ b/lib/src/fleet/packing/group_packing.rs
@@ -4,7 +4,7 @@
 
 use super::DomainRoom;
 use super::ModelDemand;
-use super::mix_search::MixChange;
+use super::mix_change::MixChange;
 use super::mix_search::MixSearch;
 use super::mix_search::sorted_coverage;
 use crate::ids::ZoneId;
--- a/lib/src/fleet/packing/mix_search.rs
+++ b/lib/src/fleet/packing/mix_search.rs
@@ -1,16 +1,7 @@
 //! Searches for changes of domain mixes that raise the lowest coverage.
 
 use super::ModelDemand;
-
-/// Another mix of groups for a domain.
-pub(super) struct MixChange<'a> {
-    /// Index of the domain.
-    pub(super) domain: usize,
-    /// Its present number of groups by model.
-    pub(super) old: &'a [usize],
-    /// The other number of groups by model.
-    pub(super) new: &'a [usize],
-}
+use super::mix_change::MixChange;
 
 /// The changes found so far that raise the lowest coverage most.
 pub(super) struct MixSearch<'a> {
--- a/lib/src/fleet/packing/mod.rs
+++ b/lib/src/fleet/packing/mod.rs
@@ -7,6 +7,7 @@
 
 mod domain_room;
 mod group_packing;
+mod mix_change;
 mod mix_search;
 mod model_demand;
 
