gateway: acquire the lock in a new era whichever task hears of it first

Cause, found by reading: the watch of the lock could read the restored store before the session began its new era, which then forgot what had been read; with a free lock nothing would have reported it again, and nobody would have formed groups.

Ruled out: the race does not show in the in-memory store's tests, whose tasks wake in the order that hides it.

Change: after a restore the session tries to acquire the lock without waiting for its watch; a conflict marks it as held until the watch reports it free.

--- a/gateway/src/store_session.rs
+++ b/gateway/src/store_session.rs
@@ -98,9 +98,12 @@
         let mut state = self.lock();
         let mut order_authority = std::mem::take(&mut state.order_authority);
         order_authority.era_begun(era);
+        // Whether the lock is held in the new era is found out by trying to acquire it: the
+        // watch of the lock may have read it before this task was woken.
         *state = SessionState {
             era: Some(era),
             was_restored: true,
+            has_read_lock: true,
             order_authority,
             ..SessionState::default()
         };
@@ -348,8 +351,11 @@
                 .write(LogKind::Lease, json!({"placer": true, "fence": version}));
             Ok(())
         }
-        // Another router acquired the lock first; the watch reports the holder.
-        Err(StoreError::Conflict { .. }) => Ok(()),
+        // Another router acquired the lock first; the watch reports when it is free.
+        Err(StoreError::Conflict { .. }) => {
+            core.session.lock().is_lock_held = true;
+            Ok(())
+        }
         Err(error) => Err(error),
     }
 }
