--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -45,8 +45,11 @@
 /// Time for which a group is avoided because of a peer's message; by then the registry
 /// or the placer has reported its state.
 const PEER_REPORT_COOLDOWN: Duration = Duration::from_millis(2_000);
-/// Age at which changes of the registry are no longer relayed. Relays are up to 0.7 s apart
-/// with 118 routers, and receivers take the age into account.
+/// Shortest time between relays of registry changes. A repair is of no use to routers that
+/// have not heard of it, and sending to all peers takes its own time in a large fleet.
+const RELAY_INTERVAL: Duration = Duration::from_millis(100);
+/// Age at which changes of the registry are no longer relayed; receivers take the age of
+/// younger ones into account.
 const MAX_RELAY_AGE: Duration = Duration::from_millis(1_500);
 /// Maximum reports per message, so that it fits in a datagram.
 const REPORTS_PER_MESSAGE: usize = 20;
@@ -105,7 +108,7 @@
 fn start_relay(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
         loop {
-            Timer::after(digest_interval(&core)).await;
+            Timer::after(RELAY_INTERVAL).await;
             let pending = core.relay_buffer.lock().expect("relay lock").take();
             let era = core.backends.store.eras().newest();
             let fence = core.session.announced_fence(era);
