gateway, platform: the log and metrics tell of limits that endpoints name

Change: the limit of each response is read, and a line `limit` tells when it changes or ends; `state` lines and two metrics count the endpoints with a limit and the requests to them. Of two responses whose order is unknown the stricter one holds. Choice and sends are as before.

--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -5,6 +5,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::Uri;
 use hyper::Version;
 use hyper::header::CONTENT_LENGTH;
@@ -17,6 +18,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::gateway_core::GatewayCore;
+use crate::limit_watch;
 use crate::reserved_target::ReservedTarget;
 
 /// A response whose head has been validated; its body is not read yet.
@@ -38,6 +40,7 @@
     let address = reserved.target.address;
     let outgoing = build_request(core, request, reserved, resume_after)
         .map_err(|error| CallError::unsent(CallStep::Send, address, error))?;
+    let sent_at = Instant::now();
     let sent = core.pool.send(address, outgoing, false, request.deadline);
     let mut response = sent.await?;
     let head = core
@@ -57,6 +60,10 @@
         );
         return Err(CallError::sent(CallStep::Decode, address, message));
     }
+    // A misdirected request was answered by another endpoint.
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        limit_watch::observe_response(core, &reserved.target.endpoint, &head, sent_at);
+    }
     remove_connection_headers(response.headers_mut());
     // Each hop has a version of its own. In that of an old endpoint, a stream would have no
     // chunks, and the caller could not tell a broken one from a whole one.
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -17,6 +17,7 @@
 use jujuberoad::fleet::AvoidList;
 use jujuberoad::fleet::ColdStartLimiter;
 use jujuberoad::fleet::GroupKey;
+use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::QuotaDivider;
 use jujuberoad::fleet::RetryAllowance;
@@ -78,6 +79,8 @@
     pub(crate) retry_budget: Mutex<RetryAllowance>,
     pub(crate) cold_start_limiter: Mutex<ColdStartLimiter>,
     pub(crate) quota_divider: Mutex<QuotaDivider>,
+    /// Limits on the rate of requests that endpoints have named.
+    pub(crate) limits: Mutex<LimitTable>,
     pub(crate) store_breaker: Mutex<CircuitBreaker>,
     pub(crate) avoided: Mutex<AvoidList>,
     pub(crate) stalls: StallMonitor,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -37,6 +37,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_metrics::MetricsApi;
 use crate::gateway_settings::GatewaySettings;
+use crate::limit_watch;
 use crate::lock_sink::LockSink;
 use crate::operator_sink::OperatorSink;
 use crate::peer_exchange;
@@ -196,6 +197,7 @@
         retry_budget: Mutex::new(retry_budget),
         cold_start_limiter: Mutex::default(),
         quota_divider: Mutex::new(quota_divider),
+        limits: Mutex::default(),
         store_breaker: Mutex::default(),
         avoided: Mutex::default(),
         stalls: StallMonitor::default(),
@@ -228,6 +230,7 @@
     stall_probe::start(Arc::clone(core));
     peer_exchange::start(Arc::clone(core));
     poison_guard::start(Arc::clone(core));
+    limit_watch::start(Arc::clone(core));
     report_poll::start(Arc::clone(core));
     state_log::start(Arc::clone(core));
 }
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) stalls: Counter,
     pub(crate) crashes: Counter,
     pub(crate) quarantines: Gauge<i64, std::sync::atomic::AtomicI64>,
+    pub(crate) limited_sends: Counter,
+    pub(crate) limited_endpoints: Gauge<i64, std::sync::atomic::AtomicI64>,
     pub(crate) first_event_ms: Histogram,
     total_ms: Histogram,
     pub(crate) models_without_room: Gauge<i64, std::sync::atomic::AtomicI64>,
@@ -75,6 +77,8 @@
             stalls: Counter::default(),
             crashes: Counter::default(),
             quarantines: Gauge::default(),
+            limited_sends: Counter::default(),
+            limited_endpoints: Gauge::default(),
             first_event_ms: Histogram::new(LATENCY_BOUNDS),
             total_ms: Histogram::new(LATENCY_BOUNDS),
             models_without_room: Gauge::default(),
@@ -130,6 +134,16 @@
             "Sets of prompt parts that are rejected",
             metrics.quarantines.clone(),
         );
+        registry.register(
+            "limited_sends",
+            "Requests sent to endpoints that name a limit on their rate",
+            metrics.limited_sends.clone(),
+        );
+        registry.register(
+            "limited_endpoints",
+            "Endpoints that name a limit on the rate of requests",
+            metrics.limited_endpoints.clone(),
+        );
         let first = metrics.first_event_ms.clone();
         registry.register("first_event_ms", "Time to the first event", first);
         registry.register(
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod gateway_error;
 mod gateway_metrics;
 mod gateway_settings;
+mod limit_watch;
 mod local_reply;
 mod lock_sink;
 mod operator_sink;
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -124,6 +124,7 @@
         loads.begin_request(&target.endpoint, query.prompt_tokens);
         drop(loads);
         record_cold_send(core, &target, now);
+        count_limited_send(core, &target);
         Some(Self {
             core: Arc::clone(core),
             target,
@@ -175,3 +176,10 @@
         .expect("cold start limiter lock");
     limiter.record_send(&target.endpoint, now);
 }
+
+fn count_limited_send(core: &GatewayCore, target: &ServingTarget) {
+    let limits = core.limits.lock().expect("limit lock");
+    if limits.limit(&target.endpoint).is_some() {
+        core.metrics.limited_sends.inc();
+    }
+}
--- a/gateway/src/state_log.rs
+++ b/gateway/src/state_log.rs
@@ -52,6 +52,7 @@
     let own: u32 = loads.own().map(|(_, load)| load.requests).sum();
     let peers = loads.peer_count();
     drop(loads);
+    let limited = core.limits.lock().expect("limit lock").len();
     let age = view
         .registry_confirmed_at
         .map(|at| at.elapsed().as_millis() as u64);
@@ -66,6 +67,8 @@
             "lost": core.avoided_endpoints().len(),
             "own_requests": own,
             "waiting": core.queue.len(),
+            "limited": limited,
+            "limited_sends": core.metrics.limited_sends.get(),
             "peers": peers,
             "registry_age_ms": age,
             "placer": core.is_placer.load(Ordering::Relaxed),
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -40,5 +40,7 @@
 pub type Epoch = u64;
 /// Random number by which a writer recognizes its own write.
 pub type Nonce = u64;
+/// Rate in requests per 1,000 seconds.
+pub type RequestRate = u64;
 /// Duration in milliseconds.
 pub type Milliseconds = u64;
--- a/node/src/backends/serving_dialect.rs
+++ b/node/src/backends/serving_dialect.rs
@@ -15,6 +15,8 @@
 use jujuberoad::serving::ServingConfig;
 use smol_str::SmolStr;
 
+use super::StatedLimit;
+
 /// Fields read from the headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallerHead {
@@ -63,6 +65,8 @@
     pub was_not_run: bool,
     /// Numbers of running and of queued requests at the endpoint.
     pub load: Option<(u32, u32)>,
+    /// Rate of requests that the endpoint takes.
+    pub request_limit: StatedLimit,
 }
 
 /// A value that cannot be decoded.
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -48,6 +48,8 @@
     Crash,
     /// A part of a prompt began or ceased to be refused.
     Quarantine,
+    /// An endpoint named a limit on the rate of its requests, changed it or named none again.
+    Limit,
 }
 
 impl LogKind {
