gateway: keep to the limits on requests that endpoints name

Callers noticed nothing.

Cause: the limit in an answer was dropped; routers chose by load alone.

Change: the newest limit of each endpoint is kept. A router counts its sends to each endpoint against its share of what the endpoint takes in 4 s, over a window of 4.2 s, and spreads them over it. The part that divided the rate of cold endpoints among routers now does it for both: ColdStartLimiter becomes SendLog and SendPacer, QuotaDivider stays. A limit below one request in 4 s still lets one request pass in at most 10 s, so that its end is noticed. Of two answers whose order is unknown the stricter limit holds.

Why this works: shares add up to the limit by construction, whatever routers hear of each other, and the window is longer than the span that counts.

Rendezvous hashing takes one hash a router and endpoint instead of two.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -15,12 +15,12 @@
 use jujuberoad::admission::FirstEventLatency;
 use jujuberoad::admission::RetryDetector;
 use jujuberoad::fleet::AvoidList;
-use jujuberoad::fleet::ColdStartLimiter;
 use jujuberoad::fleet::GroupKey;
 use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::QuotaDivider;
 use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::SendPacer;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::Fence;
@@ -77,7 +77,8 @@
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
-    pub(crate) cold_start_limiter: Mutex<ColdStartLimiter>,
+    /// Requests to each endpoint, which are kept within what it takes from all routers.
+    pub(crate) pacer: Mutex<SendPacer>,
     pub(crate) quota_divider: Mutex<QuotaDivider>,
     /// Limits on the rate of requests that endpoints have named.
     pub(crate) limits: Mutex<LimitTable>,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -195,7 +195,7 @@
         first_events: Mutex::default(),
         caller_retries: Mutex::default(),
         retry_budget: Mutex::new(retry_budget),
-        cold_start_limiter: Mutex::default(),
+        pacer: Mutex::default(),
         quota_divider: Mutex::new(quota_divider),
         limits: Mutex::default(),
         store_breaker: Mutex::default(),
--- a/gateway/src/limit_watch.rs
+++ b/gateway/src/limit_watch.rs
@@ -16,19 +16,23 @@
 
 use crate::gateway_core::GatewayCore;
 
-/// Interval at which the limits of endpoints that are gone are removed.
+/// Interval at which the state of endpoints that are gone is removed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Starts the loop that removes the limits of endpoints that are gone.
+/// Starts the loop that removes the state of endpoints that are gone.
 pub(crate) fn start(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
         loop {
             Timer::after(PRUNE_INTERVAL).await;
             let table = core.fleet.table();
             let registered: BTreeSet<&EndpointId> = table.iter().map(|record| &record.id).collect();
-            let mut limits = core.limits.lock().expect("limit lock");
-            limits.prune(Instant::now(), |endpoint| registered.contains(endpoint));
-            core.metrics.limited_endpoints.set(limits.len() as i64);
+            let now = Instant::now();
+            {
+                let mut limits = core.limits.lock().expect("limit lock");
+                limits.prune(now, |endpoint| registered.contains(endpoint));
+                core.metrics.limited_endpoints.set(limits.len() as i64);
+            }
+            core.pacer.lock().expect("pacer lock").prune(now);
         }
     });
 }
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use futures_lite::FutureExt;
+use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::PoolKey;
+use jujuberoad::fleet::RateLimits;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::fleet::TargetPicker;
 use jujuberoad::ids::EndpointId;
@@ -106,11 +108,18 @@
         let targets = view.targets.pool(&query.pool);
         let avoid_list = core.avoided().clone();
         let now = Instant::now();
+        let limits = core.limits.lock().expect("limit lock");
+        let divider = core.quota_divider.lock().expect("quota divider lock");
+        let mut pacer = core.pacer.lock().expect("pacer lock");
+        let may_send = |target: &ServingTarget| {
+            let limits = rate_limits(target, &limits, now);
+            pacer.may_send(&target.endpoint, limits, &divider, now)
+        };
         let avoided = |target: &ServingTarget| {
             query.tried.contains(&target.endpoint)
                 || avoid_list.is_avoided(target, now)
                 || core.stalls.is_suspect(&target.endpoint)
-                || !has_cold_capacity(core, target, now)
+                || !may_send(target)
         };
         let mut loads = core.loads.lock().expect("load lock");
         let picker = TargetPicker {
@@ -123,8 +132,10 @@
         let target = picker.pick(targets, fastrand::f64)?.clone();
         loads.begin_request(&target.endpoint, query.prompt_tokens);
         drop(loads);
-        record_cold_send(core, &target, now);
-        count_limited_send(core, &target);
+        pacer.record_send(&target.endpoint, now);
+        if limits.limit(&target.endpoint).is_some() {
+            core.metrics.limited_sends.inc();
+        }
         Some(Self {
             core: Arc::clone(core),
             target,
@@ -149,37 +160,12 @@
     }
 }
 
-/// Returns whether a cold target can accept another request from this router.
-fn has_cold_capacity(core: &GatewayCore, target: &ServingTarget, now: Instant) -> bool {
+/// Returns the rates that a target takes from all routers together.
+fn rate_limits(target: &ServingTarget, named: &LimitTable, now: Instant) -> RateLimits {
     let is_cold = target.cold_until.is_some_and(|until| now < until);
-    if !is_cold || target.cold_requests_per_second <= 0.0 {
-        return true;
-    }
-    let share = {
-        let quota_divider = core.quota_divider.lock().expect("quota divider lock");
-        quota_divider.share_of(&target.endpoint, target.cold_requests_per_second, now)
-    };
-    let limiter = core
-        .cold_start_limiter
-        .lock()
-        .expect("cold start limiter lock");
-    limiter.has_capacity(&target.endpoint, share, now)
-}
-
-fn record_cold_send(core: &GatewayCore, target: &ServingTarget, now: Instant) {
-    if target.cold_until.is_none_or(|until| now >= until) {
-        return;
-    }
-    let mut limiter = core
-        .cold_start_limiter
-        .lock()
-        .expect("cold start limiter lock");
-    limiter.record_send(&target.endpoint, now);
-}
-
-fn count_limited_send(core: &GatewayCore, target: &ServingTarget) {
-    let limits = core.limits.lock().expect("limit lock");
-    if limits.limit(&target.endpoint).is_some() {
-        core.metrics.limited_sends.inc();
+    let has_cold_rate = target.cold_requests_per_second > 0.0;
+    RateLimits {
+        cold_per_second: (is_cold && has_cold_rate).then_some(target.cold_requests_per_second),
+        named: named.limit(&target.endpoint),
     }
 }
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -5,7 +5,6 @@
 //! groups. A [`StallDetector`] detects a group that has stopped sending events.
 
 mod avoid_list;
-mod cold_start_limiter;
 mod delta_step;
 mod endpoint_record;
 mod endpoint_state;
@@ -32,13 +31,14 @@
 mod replica_order;
 mod replica_planner;
 mod retry_allowance;
+mod send_log;
+mod send_pacer;
 mod serving_target;
 mod stall_detector;
 mod target_picker;
 mod target_table;
 
 pub use avoid_list::AvoidList;
-pub use cold_start_limiter::ColdStartLimiter;
 pub use delta_step::DeltaStep;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
@@ -69,6 +69,9 @@
 pub use replica_order::ReplicaOrder;
 pub use replica_planner::ReplicaPlanner;
 pub use retry_allowance::RetryAllowance;
+pub use send_log::SendLog;
+pub use send_pacer::RateLimits;
+pub use send_pacer::SendPacer;
 pub use serving_target::ServingTarget;
 pub use stall_detector::StallDetector;
 pub use target_picker::TargetPicker;
--- a/lib/src/fleet/quota_divider.rs
+++ b/lib/src/fleet/quota_divider.rs
@@ -71,23 +71,26 @@
         1 + self.counted_routers(now).count()
     }
 
-    /// Returns how many requests per second this router may send to `endpoint`, out of
-    /// `per_second` for all routers.
+    /// Returns how many requests this router may send to `endpoint` in some time, out of
+    /// `total` for all routers.
     ///
-    /// The shares of all routers add up to `per_second`, rounded down. Rendezvous hashing
+    /// The shares of all routers add up to `total`, rounded down. Rendezvous hashing
     /// assigns the remainder, so different routers get it for different endpoints.
-    pub fn share_of(&self, endpoint: &str, per_second: f64, now: Instant) -> u32 {
+    pub fn share_of(&self, endpoint: &str, total: f64, now: Instant) -> u32 {
         if self.settles_at.is_none_or(|at| now < at) {
             return 0;
         }
-        let rate = per_second.max(0.0) as usize;
+        let total = total.max(0.0) as usize;
         let count = self.router_count(now);
-        let own = rendezvous_rank(endpoint, &self.own);
+        let seed = xxh3_64_with_seed(endpoint.as_bytes(), 0);
+        // Rendezvous hash by which routers are ordered for the endpoint.
+        let rank = |router: &RouterId| xxh3_64_with_seed(router.as_bytes(), seed);
+        let own = rank(&self.own);
         let ahead = self
             .counted_routers(now)
-            .filter(|other| (rendezvous_rank(endpoint, other), *other) < (own, &self.own));
-        let gets_remainder = ahead.count() < rate % count;
-        (rate / count + usize::from(gets_remainder)) as u32
+            .filter(|other| (rank(other), *other) < (own, &self.own));
+        let gets_remainder = ahead.count() < total % count;
+        (total / count + usize::from(gets_remainder)) as u32
     }
 
     fn counted_routers(&self, now: Instant) -> impl Iterator<Item = &RouterId> {
@@ -98,9 +101,3 @@
         })
     }
 }
-
-/// Returns the rendezvous hash by which routers are ordered for an endpoint.
-fn rendezvous_rank(endpoint: &str, router: &str) -> u64 {
-    let seed = xxh3_64_with_seed(endpoint.as_bytes(), 0);
-    xxh3_64_with_seed(router.as_bytes(), seed)
-}
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -8,7 +8,6 @@
 
 use insta::assert_snapshot;
 use jujuberoad::fleet::AvoidList;
-use jujuberoad::fleet::ColdStartLimiter;
 use jujuberoad::fleet::EndpointLoad;
 use jujuberoad::fleet::EndpointRecord;
 use jujuberoad::fleet::EndpointState;
@@ -24,7 +23,9 @@
 use jujuberoad::fleet::PoolKey;
 use jujuberoad::fleet::ProbeBackoff;
 use jujuberoad::fleet::QuotaDivider;
+use jujuberoad::fleet::RateLimits;
 use jujuberoad::fleet::RetryAllowance;
+use jujuberoad::fleet::SendPacer;
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::fleet::StallDetector;
 use jujuberoad::fleet::TargetPicker;
@@ -429,14 +430,20 @@
 #[test]
 fn requests_to_a_cold_endpoint_stay_within_its_rate() {
     for_seeds(100, 400, |u| {
-        let mut limiter = ColdStartLimiter::default();
+        let mut pacer = SendPacer::default();
         let start = Instant::now();
+        let divider = dividers(1, start).remove(0);
+        let start = start + Duration::from_secs(2);
+        let limits = RateLimits {
+            cold_per_second: Some(3.0),
+            named: None,
+        };
         let mut now = start;
         let mut sends = Vec::new();
         for _ in 0..200 {
             now += Duration::from_millis(draw(u, 1, 60)?);
-            if limiter.has_capacity(&"e1".into(), 3, now) {
-                limiter.record_send(&"e1".into(), now);
+            if pacer.may_send(&"e1".into(), limits, &divider, now) {
+                pacer.record_send(&"e1".into(), now);
                 sends.push(now);
             }
         }
--- /dev/null
+++ b/lib/tests/test_request_limits.rs
@@ -0,0 +1,202 @@
+//! Tests of limits on the rate of requests that endpoints name.
+
+mod testutils;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use insta::assert_snapshot;
+use jujuberoad::fleet::LimitStatement;
+use jujuberoad::fleet::LimitTable;
+use testutils::limit_sim::LimitOutcome;
+use testutils::limit_sim::LimitPhase;
+use testutils::limit_sim::LimitRule;
+use testutils::limit_sim::LimitScenario;
+use testutils::limit_sim::LimitSim;
+
+/// Limit of a statement, when it was asked for and when it was answered.
+type StatementCase = (Option<u64>, u64, u64);
+
+fn phase(from_ms: u64, until_ms: u64, per_1000_s: u64) -> LimitPhase {
+    LimitPhase {
+        from_ms,
+        until_ms,
+        per_1000_s,
+    }
+}
+
+/// Returns the patterns of limits, by name.
+fn patterns() -> Vec<(&'static str, Vec<LimitPhase>)> {
+    vec![
+        ("one limit", vec![phase(4_000, 23_000, 3_700)]),
+        (
+            "falling",
+            vec![phase(4_000, 23_000, 8_000), phase(9_000, 23_000, 5_000)],
+        ),
+        (
+            "rising",
+            vec![phase(4_000, 12_000, 2_000), phase(4_000, 23_000, 6_000)],
+        ),
+        (
+            "overlapping",
+            vec![
+                phase(3_000, 12_000, 4_000),
+                phase(8_000, 18_000, 3_000),
+                phase(16_000, 23_000, 5_000),
+            ],
+        ),
+        (
+            "again",
+            vec![phase(3_000, 9_000, 4_000), phase(13_000, 23_000, 4_000)],
+        ),
+        ("very low", vec![phase(4_000, 23_000, 150)]),
+        ("none", vec![phase(4_000, 23_000, 0)]),
+    ]
+}
+
+/// Sizes of fleets: routers, endpoints and requests per second.
+const SIZES: [(usize, usize, u64); 4] =
+    [(1, 3, 20), (5, 14, 160), (31, 30, 320), (118, 140, 1_050)];
+
+fn scenario(size: (usize, usize, u64), phases: &[LimitPhase]) -> LimitScenario {
+    let (routers, endpoints, requests_per_second) = size;
+    LimitScenario {
+        routers,
+        endpoints,
+        limited: (endpoints * 7).div_ceil(10),
+        requests_per_second,
+        phases: phases.to_vec(),
+    }
+}
+
+fn run(scenario: &LimitScenario, rule: LimitRule, seed: u64) -> LimitOutcome {
+    LimitSim::new(scenario.clone(), rule, seed).run()
+}
+
+/// Guards against endpoints in need that get more requests from all routers than they say they
+/// take, for fleets of all sizes and limits that change while requests are in progress.
+#[test]
+fn requests_of_all_routers_stay_within_named_limits() {
+    for (size, seeds) in SIZES.into_iter().zip([10, 5, 1, 1]) {
+        for (name, phases) in patterns() {
+            // A run of the largest fleet takes seconds.
+            if size == SIZES[3] && name != "overlapping" {
+                continue;
+            }
+            let scenario = scenario(size, &phases);
+            for seed in 0..seeds {
+                let outcome = run(&scenario, LimitRule::Kept, seed);
+                let excesses = outcome.excesses;
+                assert!(
+                    excesses.is_empty(),
+                    "{name}, {size:?}, {seed}: {excesses:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Control: the simulation notices routers that do not regard limits, and routers that each take
+/// a limit for themselves.
+#[test]
+fn excess_requests_are_noticed() {
+    for rule in [LimitRule::Ignored, LimitRule::NotDivided] {
+        let (_, phases) = patterns().swap_remove(0);
+        let outcome = run(&scenario(SIZES[1], &phases), rule, 0);
+        assert!(!outcome.excesses.is_empty(), "{rule:?}");
+    }
+}
+
+/// Guards against limited endpoints that are hardly used, and against ones that stay limited
+/// after their limit has ended.
+#[test]
+fn limited_endpoints_are_used_up_to_their_limit() {
+    for size in [SIZES[0], SIZES[1], SIZES[2]] {
+        let (_, phases) = patterns().swap_remove(0);
+        let scenario = scenario(size, &phases);
+        let outcome = run(&scenario, LimitRule::Kept, 0);
+        let used = outcome.limited_arrivals as f64 / outcome.limited_room;
+        assert!(used >= 0.5, "{size:?}: {used}");
+    }
+    for (name, phases) in patterns() {
+        let outcome = run(&scenario(SIZES[1], &phases), LimitRule::Kept, 1);
+        let (routers, endpoints, rate) = SIZES[1];
+        // A quarter of an equal share over the 3 s that are counted.
+        let limited = (endpoints * 7).div_ceil(10) as u64;
+        let fair = 3 * rate * limited / endpoints as u64;
+        let late = outcome.late_arrivals as u64;
+        assert!(
+            late * 4 >= fair,
+            "{name}, {routers} routers: {late} of {fair}"
+        );
+    }
+}
+
+/// Guards against a limit that an older response brings back or lifts too early.
+#[test]
+fn the_order_of_statements_decides() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let cases: [(&str, &[StatementCase]); 9] = [
+        ("named", &[(Some(4), 0, 10)]),
+        ("never named", &[(None, 0, 10)]),
+        ("lifted", &[(Some(4), 0, 10), (None, 10, 20)]),
+        (
+            "overlapping answer without it",
+            &[(Some(4), 0, 10), (None, 5, 20)],
+        ),
+        (
+            "older answer without it",
+            &[(Some(4), 20, 30), (None, 0, 10)],
+        ),
+        (
+            "older limit after its end",
+            &[(Some(4), 0, 10), (None, 10, 20), (Some(4), 2, 9)],
+        ),
+        ("raised", &[(Some(4), 0, 10), (Some(8), 11, 20)]),
+        ("overlapping rise", &[(Some(4), 0, 10), (Some(8), 5, 12)]),
+        ("overlapping fall", &[(Some(8), 0, 10), (Some(4), 5, 12)]),
+    ];
+    let mut rendered = Vec::new();
+    for (name, statements) in cases {
+        let mut table = LimitTable::default();
+        let endpoint = "e1".into();
+        let mut changes = Vec::new();
+        for (limit, asked, answered) in statements {
+            let statement = LimitStatement {
+                limit: *limit,
+                asked_at: at(*asked),
+                answered_at: at(*answered),
+            };
+            changes.push(table.observe(&endpoint, statement));
+        }
+        rendered.push(format!("{name}: {:?} {changes:?}", table.limit("e1")));
+    }
+    assert_snapshot!(rendered.join("\n"));
+}
+
+/// Guards against endpoints that are gone and still take memory.
+#[test]
+fn limits_of_endpoints_that_are_gone_are_removed() {
+    let start = Instant::now();
+    let mut table = LimitTable::default();
+    for (endpoint, limit) in [("here", Some(4)), ("gone", Some(4)), ("lifted", Some(4))] {
+        let statement = LimitStatement {
+            limit,
+            asked_at: start,
+            answered_at: start,
+        };
+        assert!(table.observe(&endpoint.into(), statement));
+    }
+    let lifted = LimitStatement {
+        limit: None,
+        asked_at: start,
+        answered_at: start,
+    };
+    assert!(table.observe(&"lifted".into(), lifted));
+    table.prune(start + Duration::from_secs(60), |endpoint| {
+        endpoint != "gone"
+    });
+    assert_eq!((table.len(), table.limit("here")), (1, Some(4)));
+    assert!(!table.is_empty());
+}
