gateway: routers tell each other of limits that endpoints name

Until then each sent what it liked; a limit holds for all routers together.

Cause: what one router hears of an endpoint stayed with it. Ruled out: lost answers; every router logged the limit with its first answer after 6 s.

Change: a router that hears of a new limit, another one or the end of one tells all others three times within 150 ms. Three routers a limited endpoint, by rendezvous hash, repeat it each second, for routers that start later or missed it. Notices carry the ages of request and answer, so that the order of statements is decided as for own answers. What nobody repeats for 30 s is forgotten: a router without a share that misses the end of a limit does not keep it for good.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -16,6 +16,7 @@
 use jujuberoad::admission::RetryDetector;
 use jujuberoad::fleet::AvoidList;
 use jujuberoad::fleet::GroupKey;
+use jujuberoad::fleet::LimitOutbox;
 use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::LoadTable;
 use jujuberoad::fleet::QuotaDivider;
@@ -82,6 +83,7 @@
     pub(crate) quota_divider: Mutex<QuotaDivider>,
     /// Limits on the rate of requests that endpoints have named.
     pub(crate) limits: Mutex<LimitTable>,
+    pub(crate) limit_outbox: Mutex<LimitOutbox>,
     pub(crate) store_breaker: Mutex<CircuitBreaker>,
     pub(crate) avoided: Mutex<AvoidList>,
     pub(crate) stalls: StallMonitor,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -198,6 +198,7 @@
         pacer: Mutex::default(),
         quota_divider: Mutex::new(quota_divider),
         limits: Mutex::default(),
+        limit_outbox: Mutex::default(),
         store_breaker: Mutex::default(),
         avoided: Mutex::default(),
         stalls: StallMonitor::default(),
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -28,6 +28,7 @@
 
 use crate::boot_clock;
 use crate::gateway_core::GatewayCore;
+use crate::limit_watch;
 use crate::poison_guard;
 use crate::registry_sink;
 use crate::stall_probe;
@@ -328,6 +329,9 @@
             PeerMessage::Quarantines(notices) => {
                 poison_guard::adopt(&self.core, &notices, &frame.sender);
             }
+            PeerMessage::RequestLimits(notices) => {
+                limit_watch::adopt(&self.core, &notices, &frame.sender);
+            }
             _ => {}
         }
     }
--- a/lib/src/fleet/limit_statement.rs
+++ b/lib/src/fleet/limit_statement.rs
@@ -23,6 +23,12 @@
         self.asked_at >= other.answered_at
     }
 
+    /// Takes over the times of another statement of the same limit if it is newer.
+    pub(super) fn extend(&mut self, other: &Self) {
+        self.asked_at = self.asked_at.max(other.asked_at);
+        self.answered_at = self.answered_at.max(other.answered_at);
+    }
+
     /// Returns whether this limit allows fewer requests than `other`.
     pub(super) fn is_stricter(&self, other: &Self) -> bool {
         let allowed = |statement: &Self| statement.limit.unwrap_or(RequestRate::MAX);
--- a/lib/src/fleet/limit_table.rs
+++ b/lib/src/fleet/limit_table.rs
@@ -8,57 +8,75 @@
 use crate::ids::EndpointId;
 use crate::ids::RequestRate;
 
-/// Time for which the end of a limit is remembered. Older statements that arrive later, over
-/// a slow connection, must not bring the limit back.
-const LIFT_RETENTION: Duration = Duration::from_secs(30);
+/// Time after which a limit, or its end, that neither the endpoint nor a peer has repeated is
+/// forgotten. The end is remembered because older statements that arrive later, over a slow
+/// connection, must not bring the limit back.
+const UNHEARD_RETENTION: Duration = Duration::from_secs(30);
 
 /// The newest statement of each endpoint that has named a limit.
 #[derive(Clone, Debug, Default)]
 pub struct LimitTable {
-    statements: HashMap<EndpointId, LimitStatement>,
+    known: HashMap<EndpointId, KnownLimit>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownLimit {
+    statement: LimitStatement,
+    /// When the endpoint or a peer last said the same.
+    heard_at: Instant,
 }
 
 impl LimitTable {
-    /// Records what a response says; returns whether the limit of the endpoint has changed.
+    /// Records what a response says, or a peer's notice of one; returns whether the limit of the
+    /// endpoint has changed.
     ///
     /// Responses on different connections overtake each other. Of two statements whose order
     /// is unknown, the stricter one holds.
-    pub fn observe(&mut self, endpoint: &EndpointId, statement: LimitStatement) -> bool {
-        let Some(known) = self.statements.get_mut(endpoint) else {
+    pub fn observe(
+        &mut self,
+        endpoint: &EndpointId,
+        statement: LimitStatement,
+        now: Instant,
+    ) -> bool {
+        let heard = KnownLimit {
+            statement,
+            heard_at: now,
+        };
+        let Some(known) = self.known.get_mut(endpoint) else {
             if statement.limit.is_some() {
-                self.statements.insert(endpoint.clone(), statement);
+                self.known.insert(endpoint.clone(), heard);
             }
             return statement.limit.is_some();
         };
-        let has_changed = statement.limit != known.limit;
-        if statement.is_newer(known) {
-            *known = statement;
-            return has_changed;
-        }
-        if known.is_newer(&statement) {
+        if statement.limit == known.statement.limit {
+            known.heard_at = now;
+            known.statement.extend(&statement);
             return false;
         }
-        if !has_changed {
-            known.asked_at = known.asked_at.max(statement.asked_at);
-            known.answered_at = known.answered_at.max(statement.answered_at);
-            return false;
-        }
-        let is_stricter = statement.is_stricter(known);
-        if is_stricter {
-            *known = statement;
+        let is_older = known.statement.is_newer(&statement);
+        let holds = statement.is_newer(&known.statement)
+            || (!is_older && statement.is_stricter(&known.statement));
+        if holds {
+            *known = heard;
         }
-        is_stricter
+        holds
     }
 
     /// Returns the limit of an endpoint, if it has one.
     pub fn limit(&self, endpoint: &str) -> Option<RequestRate> {
-        self.statements.get(endpoint)?.limit
+        self.known.get(endpoint)?.statement.limit
+    }
+
+    /// Returns the endpoints with a limit and the statements that named it.
+    pub fn named(&self) -> impl Iterator<Item = (&EndpointId, &LimitStatement)> {
+        let known = self.known.iter();
+        let statements = known.map(|(endpoint, known)| (endpoint, &known.statement));
+        statements.filter(|(_, statement)| statement.limit.is_some())
     }
 
     /// Returns the number of endpoints with a limit.
     pub fn len(&self) -> usize {
-        let statements = self.statements.values();
-        statements.filter(|known| known.limit.is_some()).count()
+        self.named().count()
     }
 
     /// Returns whether no endpoint has a limit.
@@ -66,11 +84,10 @@
         self.len() == 0
     }
 
-    /// Removes endpoints that are gone, and limits that ended long ago.
+    /// Removes endpoints that are gone and what was not repeated for a while.
     pub fn prune(&mut self, now: Instant, is_registered: impl Fn(&EndpointId) -> bool) {
-        self.statements.retain(|endpoint, known| {
-            let is_remembered = known.limit.is_some() || now < known.answered_at + LIFT_RETENTION;
-            is_remembered && is_registered(endpoint)
+        self.known.retain(|endpoint, known| {
+            now < known.heard_at + UNHEARD_RETENTION && is_registered(endpoint)
         });
     }
 }
--- a/lib/src/fleet/quota_divider.rs
+++ b/lib/src/fleet/quota_divider.rs
@@ -82,15 +82,20 @@
         }
         let total = total.max(0.0) as usize;
         let count = self.router_count(now);
+        let gets_remainder = self.rank_for(endpoint, now) < total % count;
+        (total / count + usize::from(gets_remainder)) as u32
+    }
+
+    /// Returns the number of known routers before this one in the order by rendezvous hash for
+    /// `endpoint`.
+    pub fn rank_for(&self, endpoint: &str, now: Instant) -> usize {
         let seed = xxh3_64_with_seed(endpoint.as_bytes(), 0);
-        // Rendezvous hash by which routers are ordered for the endpoint.
-        let rank = |router: &RouterId| xxh3_64_with_seed(router.as_bytes(), seed);
-        let own = rank(&self.own);
+        let hash = |router: &RouterId| xxh3_64_with_seed(router.as_bytes(), seed);
+        let own = hash(&self.own);
         let ahead = self
             .counted_routers(now)
-            .filter(|other| (rank(other), *other) < (own, &self.own));
-        let gets_remainder = ahead.count() < total % count;
-        (total / count + usize::from(gets_remainder)) as u32
+            .filter(|other| (hash(other), *other) < (own, &self.own));
+        ahead.count()
     }
 
     fn counted_routers(&self, now: Instant) -> impl Iterator<Item = &RouterId> {
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -11,6 +11,7 @@
 use crate::fleet::EndpointLoad;
 use crate::fleet::EngineReport;
 use crate::fleet::GroupKey;
+use crate::fleet::LimitNotice;
 use crate::fleet::RegistryDelta;
 use crate::ids::EndpointId;
 use crate::ids::Fence;
@@ -120,6 +121,8 @@
     SuspectParts(BTreeSet<PromptPartId>),
     /// Announces quarantines that the sender has in force or has lifted.
     Quarantines(Vec<QuarantineNotice>),
+    /// Tells of limits on the rate of requests that endpoints have named, changed or ended.
+    RequestLimits(Vec<LimitNotice>),
 }
 
 impl PeerMessage {
--- a/lib/tests/test_request_limits.rs
+++ b/lib/tests/test_request_limits.rs
@@ -168,35 +168,35 @@
                 asked_at: at(*asked),
                 answered_at: at(*answered),
             };
-            changes.push(table.observe(&endpoint, statement));
+            changes.push(table.observe(&endpoint, statement, statement.answered_at));
         }
         rendered.push(format!("{name}: {:?} {changes:?}", table.limit("e1")));
     }
     assert_snapshot!(rendered.join("\n"));
 }
 
-/// Guards against endpoints that are gone and still take memory.
+/// Guards against endpoints that are gone and still take memory, and against limits that stay
+/// with a router which was not told of their end.
 #[test]
-fn limits_of_endpoints_that_are_gone_are_removed() {
+fn limits_that_nobody_repeats_are_forgotten() {
     let start = Instant::now();
+    let late = start + Duration::from_secs(60);
     let mut table = LimitTable::default();
-    for (endpoint, limit) in [("here", Some(4)), ("gone", Some(4)), ("lifted", Some(4))] {
-        let statement = LimitStatement {
-            limit,
-            asked_at: start,
-            answered_at: start,
-        };
-        assert!(table.observe(&endpoint.into(), statement));
-    }
-    let lifted = LimitStatement {
-        limit: None,
+    let statement = |limit| LimitStatement {
+        limit,
         asked_at: start,
         answered_at: start,
     };
-    assert!(table.observe(&"lifted".into(), lifted));
-    table.prune(start + Duration::from_secs(60), |endpoint| {
-        endpoint != "gone"
-    });
-    assert_eq!((table.len(), table.limit("here")), (1, Some(4)));
-    assert!(!table.is_empty());
+    for endpoint in ["repeated", "gone", "lifted", "silent"] {
+        assert!(table.observe(&endpoint.into(), statement(Some(4)), start));
+    }
+    assert!(table.observe(&"lifted".into(), statement(None), start));
+    assert!(!table.observe(&"repeated".into(), statement(Some(4)), late));
+    assert!(!table.observe(&"gone".into(), statement(Some(4)), late));
+    table.prune(late, |endpoint| endpoint != "gone");
+    let limits = ["repeated", "gone", "lifted", "silent"].map(|endpoint| table.limit(endpoint));
+    assert_eq!(limits, [Some(4), None, None, None]);
+    assert_eq!((table.len(), table.is_empty()), (1, false));
+    // The end of a limit is forgotten too, so an old statement holds again.
+    assert!(table.observe(&"lifted".into(), statement(Some(4)), late));
 }
--- a/lib/tests/testutils/limit_sim.rs
+++ b/lib/tests/testutils/limit_sim.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use fastrand::Rng;
+use jujuberoad::fleet::LimitNotice;
+use jujuberoad::fleet::LimitOutbox;
 use jujuberoad::fleet::LimitStatement;
 use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::QuotaDivider;
@@ -27,6 +29,8 @@
 /// Time after a router has been told of a limit from which its requests count.
 const TOLD_MS: u64 = 500;
 const RETENTION_MS: u64 = 10_000;
+/// Interval at which routers tell each other of limits.
+const NOTICE_MS: u64 = 50;
 
 /// Rules of a run; each control variant breaks one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,12 +81,17 @@
     divider: QuotaDivider,
     pacer: SendPacer,
     limits: LimitTable,
+    outbox: LimitOutbox,
     in_flight: Vec<usize>,
     told_at: Vec<Option<u64>>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum SimEvent {
+    Notice {
+        router: usize,
+        notice: LimitNotice,
+    },
     Arrival {
         router: usize,
         endpoint: usize,
@@ -131,6 +140,7 @@
                 divider,
                 pacer: SendPacer::default(),
                 limits: LimitTable::default(),
+                outbox: LimitOutbox::default(),
                 in_flight: vec![0; scenario.endpoints],
                 told_at: vec![None; scenario.endpoints],
             }
@@ -162,6 +172,9 @@
                 }
             }
             self.send_requests(now_ms);
+            if now_ms % NOTICE_MS == 0 {
+                self.send_notices(now_ms);
+            }
         }
         for endpoint in 0..self.scenario.limited {
             self.check(endpoint);
@@ -214,6 +227,24 @@
         }
     }
 
+    fn send_notices(&mut self, now_ms: u64) {
+        let now = self.at(now_ms);
+        for sender in 0..self.routers.len() {
+            for notice in self.routers[sender].outbox.take(now) {
+                for router in 0..self.routers.len() {
+                    // Some datagrams are lost, and some arrive late.
+                    let fate = self.rng.u8(..);
+                    if router == sender || fate < 25 {
+                        continue;
+                    }
+                    let transit_ms = if fate < 50 { 40 } else { 3 };
+                    let notice = notice.clone();
+                    self.schedule(now_ms + transit_ms, SimEvent::Notice { router, notice });
+                }
+            }
+        }
+    }
+
     fn pick(&mut self, router: usize, now_ms: u64) -> Option<usize> {
         let now = self.at(now_ms);
         let state = &self.routers[router];
@@ -231,6 +262,13 @@
 
     fn handle(&mut self, event: SimEvent, at_ms: u64) {
         match event {
+            SimEvent::Notice { router, notice } => {
+                let now = self.at(at_ms);
+                if let Some(statement) = notice.statement(now) {
+                    let state = &mut self.routers[router];
+                    state.limits.observe(&notice.endpoint, statement, now);
+                }
+            }
             SimEvent::Arrival {
                 router,
                 endpoint,
@@ -275,7 +313,10 @@
                 };
                 let state = &mut self.routers[router];
                 state.in_flight[endpoint] -= 1;
-                state.limits.observe(&self.ids[endpoint], statement);
+                let id = &self.ids[endpoint];
+                if state.limits.observe(id, statement, statement.answered_at) {
+                    state.outbox.push(id.clone(), statement);
+                }
                 if limit.is_some() {
                     state.told_at[endpoint].get_or_insert(at_ms);
                 }
