gateway: log lines name requests that are the same

Cause: on BUDGET the logs cannot say whether the requests that lose their endpoints are the same one; each attempt has an id of its own.

Change: a request has a fingerprint of its method, host, path, query, team and body, the same at all routers. Lines of retries, resumes, failures, refusals and crashes name it. No decision uses it.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -198,6 +198,7 @@
                 "because": why,
                 "reason": reason,
                 "runs": self.runs,
+                "fingerprint": self.request.fingerprint,
             }),
         );
     }
@@ -261,6 +262,7 @@
             "reason": answer.reason,
             "runs": runs,
             "total_ms": request.age_ms(),
+            "fingerprint": request.fingerprint,
             "prompt_parts": request.head.shared_prompt_parts[..],
             "config": request.config_version,
             "registry": view.registry_version,
--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use jujuberoad::fleet::PoolKey;
+use jujuberoad::poison::fingerprint;
 use jujuberoad::serving::RouteKind;
 use jujuberoad::serving::ServingConfig;
 use jujuberoad_node::backends::CallerHead;
@@ -98,6 +99,12 @@
             .get(&service)
             .is_some_and(|profile| profile.engine.is_some());
         let model = head.model.clone().filter(|_| has_groups);
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let caller = team.as_deref().unwrap_or_default();
+        let fingerprint = fingerprint(parts.method.as_str(), &host, target, caller, &body);
         Ok(CallerRequest {
             id,
             method: parts.method,
@@ -105,6 +112,7 @@
             headers: parts.headers,
             body,
             head,
+            fingerprint,
             route,
             team,
             priority,
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use jujuberoad::fleet::PoolKey;
+use jujuberoad::ids::Fingerprint;
 use jujuberoad::ids::Milliseconds;
 use jujuberoad::ids::Revision;
 use jujuberoad::ids::TeamId;
@@ -41,6 +42,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) head: CallerHead,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: RouteSpec,
     pub(crate) team: Option<TeamId>,
     pub(crate) priority: u32,
--- a/gateway/src/run_watch.rs
+++ b/gateway/src/run_watch.rs
@@ -77,6 +77,7 @@
                     "endpoint": self.endpoint,
                     "started": self.started_at.is_some(),
                     "run_ms": self.run_ms(),
+                    "fingerprint": self.request.fingerprint,
                     "prompt_parts": self.request.head.shared_prompt_parts[..],
                 }),
             );
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -351,6 +351,7 @@
                 "reason": error.to_string(),
                 "runs": self.runs(),
                 "age_ms": self.request.age_ms(),
+                "fingerprint": self.request.fingerprint,
                 "prompt_parts": self.request.head.shared_prompt_parts[..],
             }),
         );
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -200,6 +200,7 @@
                 "reason": reason,
                 "silent_ms": self.last_sent_at.elapsed().as_millis() as u64,
                 "run_ms": self.guard.run.run_ms(),
+                "fingerprint": self.call.request.fingerprint,
                 "prompt_parts": self.call.request.head.shared_prompt_parts[..],
             }),
         );
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -16,6 +16,8 @@
 pub type EndpointId = SmolStr;
 /// Identifies a part of a prompt that several requests share.
 pub type PromptPartId = SmolStr;
+/// Identifies requests with the same target, caller and body.
+pub type Fingerprint = SmolStr;
 /// Name of a team, as in `[team NAME]`.
 pub type TeamId = SmolStr;
 /// Name of a router process.
--- a/lib/src/poison/mod.rs
+++ b/lib/src/poison/mod.rs
@@ -27,6 +27,7 @@
 mod crash_evidence;
 mod crash_explainer;
 mod crash_report;
+mod fingerprint;
 mod part_quarantine;
 mod poison_action;
 mod poison_detector;
@@ -39,6 +40,7 @@
 
 pub use crash_evidence::CrashEvidence;
 pub use crash_report::CrashReport;
+pub use fingerprint::fingerprint;
 pub use part_quarantine::PartQuarantine;
 pub use poison_action::PoisonAction;
 pub use poison_detector::OBJECTION_TIME;
