poison: requests are charged with crashes, not only parts of their prompts

What callers saw: one request, sent again and again, ended every endpoint of a service; all others found none for seconds. After three had ended it was sent 4 to 8 times more (BUDGET).

Cause: crashes were charged to shared parts of prompts. Runs without any were not watched, so a request to a plain service was never related to the crashes that it caused. Ruled out: load.

Change: the fingerprint of a request counts as a part that only equal requests share. Three crashed endpoints quarantine it, at whatever distance in time, four if others crashed without it: a wrong decision concerns no other request. Requests with the same charges are quarantined each for itself, since no request holds two fingerprints. A request whose answer was complete is not charged. A report names the parts of the lost run first.

--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -91,7 +91,7 @@
     let ended = own_lines().map(|line| line.unix_ms).max().unwrap_or(0);
     let processes: BTreeSet<&str> = own_lines().map(|line| line.process.as_str()).collect();
     let endpoints: BTreeSet<&str> = own_lines().flat_map(LogLine::endpoints).collect();
-    let parts: BTreeSet<&str> = own_lines().flat_map(LogLine::prompt_parts).collect();
+    let parts: BTreeSet<&str> = own_lines().flat_map(LogLine::crash_parts).collect();
     let concerns_part = |line: &LogLine| {
         let mut quarantined = line.quarantined_parts().peekable();
         quarantined.peek().is_some() && quarantined.all(|part| parts.contains(part))
@@ -180,15 +180,16 @@
         self.unix_ms.saturating_add(remaining.unwrap_or(0))
     }
 
-    /// Returns the parts of a prompt that a `quarantine` line names.
+    /// Returns the fingerprint and the parts of a prompt that a `quarantine` line names.
     fn quarantined_parts(&self) -> impl Iterator<Item = &str> {
         let is_quarantine = self.kind == QUARANTINE_KIND;
         self.texts("parts").filter(move |_| is_quarantine)
     }
 
-    /// Returns the parts of the prompt named by the line.
-    fn prompt_parts(&self) -> impl Iterator<Item = &str> {
-        self.texts("prompt_parts")
+    /// Returns the fingerprint and the parts of the prompt named by the line.
+    fn crash_parts(&self) -> impl Iterator<Item = &str> {
+        let fingerprint = self.fields.get("fingerprint").and_then(Value::as_str);
+        self.texts("prompt_parts").chain(fingerprint)
     }
 
     /// Returns the texts of a field that holds a list.
--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -1,5 +1,6 @@
 //! HTTP handler for requests from callers.
 
+use std::iter;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -105,6 +106,10 @@
             .map_or("/", |target| target.as_str());
         let caller = team.as_deref().unwrap_or_default();
         let fingerprint = fingerprint(parts.method.as_str(), &host, target, caller, &body);
+        let shared_parts = head.shared_prompt_parts.iter().cloned();
+        let crash_parts = iter::once(fingerprint.clone())
+            .chain(shared_parts)
+            .collect();
         Ok(CallerRequest {
             id,
             method: parts.method,
@@ -113,6 +118,7 @@
             body,
             head,
             fingerprint,
+            crash_parts,
             route,
             team,
             priority,
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -1,5 +1,6 @@
 //! An admitted request from a caller.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,6 +12,7 @@
 use jujuberoad::fleet::PoolKey;
 use jujuberoad::ids::Fingerprint;
 use jujuberoad::ids::Milliseconds;
+use jujuberoad::ids::PromptPartId;
 use jujuberoad::ids::Revision;
 use jujuberoad::ids::TeamId;
 use jujuberoad::serving::RouteSpec;
@@ -43,6 +45,8 @@
     pub(crate) body: Bytes,
     pub(crate) head: CallerHead,
     pub(crate) fingerprint: Fingerprint,
+    /// The fingerprint and the shared parts of the prompt, which crashes are charged to.
+    pub(crate) crash_parts: Arc<[PromptPartId]>,
     pub(crate) route: RouteSpec,
     pub(crate) team: Option<TeamId>,
     pub(crate) priority: u32,
@@ -103,18 +107,20 @@
             .with_retry_at(self.pick_retry_at())
     }
 
-    /// Returns the reply to a request whose prompt is quarantined, or `None` if it is not;
+    /// Returns the reply to a request that is quarantined, itself or by its prompt, or `None` if it is not;
     /// `runs` attempts may have been executed.
     pub(crate) fn quarantine_reply(&self, core: &GatewayCore, runs: u32) -> Option<LocalReply> {
-        let quarantine = core
-            .poison
-            .find_quarantine(&self.head.shared_prompt_parts)?;
-        let parts: Vec<&str> = quarantine.parts.iter().map(|part| part.as_str()).collect();
-        let parts = parts.join(", ");
-        let reason = format!(
-            "{} endpoints crashed on requests with these parts of their prompts: {parts}",
-            quarantine.crashes
-        );
+        let quarantine = core.poison.find_quarantine(&self.crash_parts)?;
+        let crashes = quarantine.crashes;
+        let reason = if quarantine.parts.contains(&self.fingerprint) {
+            format!("{crashes} endpoints crashed on this request")
+        } else {
+            let parts: Vec<&str> = quarantine.parts.iter().map(|part| part.as_str()).collect();
+            let parts = parts.join(", ");
+            format!(
+                "{crashes} endpoints crashed on requests with these parts of their prompts: {parts}"
+            )
+        };
         if runs > 0 {
             return Some(LocalReply::unknown(StatusCode::BAD_GATEWAY, reason));
         }
--- a/gateway/src/run_watch.rs
+++ b/gateway/src/run_watch.rs
@@ -32,8 +32,7 @@
         request: &Arc<CallerRequest>,
         endpoint: &EndpointId,
     ) -> Self {
-        let parts = &request.head.shared_prompt_parts;
-        let number = core.poison.begin_run(endpoint, parts);
+        let number = core.poison.begin_run(endpoint, &request.crash_parts);
         Self {
             core: Arc::clone(core),
             request: Arc::clone(request),
--- a/lib/src/poison/crash_explainer.rs
+++ b/lib/src/poison/crash_explainer.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use super::crash_event::CrashEvent;
+use super::fingerprint::is_fingerprint;
 use super::survival_log::SurvivalLog;
 use crate::ids::PromptPartId;
 
@@ -19,6 +20,8 @@
 const UNPROVEN_MOMENTS: usize = 3;
 /// Maximum number of further moments, one for each crash that the part does not explain.
 const MAX_EXTRA_MOMENTS: usize = 2;
+/// The same for a fingerprint, in crashes.
+const MAX_EXTRA_CRASHES: usize = 1;
 /// Moments in a row after which a part with a recent survival is poison.
 const PROVEN_MOMENTS: usize = 6;
 /// Moments after which parts that explain equally many, but different crashes are all
@@ -87,7 +90,10 @@
                 let mut others = rivals.keys().filter(|other| *other != events);
                 let has_rival = others.any(|other| other.iter().any(|e| events.contains(e)));
                 let is_disputed = has_rival && weight.1 < TIE_MOMENTS;
-                explanations.push(self.explanation(parts, events, is_disputed));
+                for parts in split_fingerprints(parts) {
+                    let is_disputed = is_disputed && !parts.iter().any(|part| is_fingerprint(part));
+                    explanations.push(self.explanation(&parts, events, is_disputed));
+                }
             }
             let poison: BTreeSet<PromptPartId> = rivals.into_values().flatten().collect();
             self.discharge(&poison);
@@ -120,8 +126,16 @@
     }
 
     /// Returns the weight of a charge if it suffices for the part to be poison.
+    ///
+    /// For a fingerprint, crashes of several endpoints at the same moment count as well: a wrong
+    /// decision concerns no other request.
     fn weight(&self, part: &PromptPartId, events: &[usize]) -> Option<ChargeWeight> {
         let is_proven = self.is_proven(part, events);
+        let moments = self.count_moments(events);
+        if !is_proven && is_fingerprint(part) {
+            let needed = UNPROVEN_MOMENTS + self.count_others(events).min(MAX_EXTRA_CRASHES);
+            return (events.len() >= needed).then_some((true, moments, events.len()));
+        }
         let needed = if is_proven {
             PROVEN_MOMENTS
         } else if self.held.contains(part) {
@@ -129,7 +143,6 @@
         } else {
             UNPROVEN_MOMENTS + self.count_others(events).min(MAX_EXTRA_MOMENTS)
         };
-        let moments = self.count_moments(events);
         (moments >= needed).then_some((!is_proven, moments, events.len()))
     }
 
@@ -181,3 +194,14 @@
         });
     }
 }
+
+/// Returns the sets of parts that one request can hold: a request has one fingerprint.
+fn split_fingerprints(parts: &BTreeSet<PromptPartId>) -> Vec<BTreeSet<PromptPartId>> {
+    let (fingerprints, shared): (Vec<_>, Vec<_>) =
+        parts.iter().cloned().partition(|part| is_fingerprint(part));
+    if fingerprints.is_empty() {
+        return vec![parts.clone()];
+    }
+    let with_shared = |fingerprint| shared.iter().cloned().chain([fingerprint]).collect();
+    fingerprints.into_iter().map(with_shared).collect()
+}
--- a/lib/src/poison/fingerprint.rs
+++ b/lib/src/poison/fingerprint.rs
@@ -8,6 +8,11 @@
 /// First character of every fingerprint; ids of parts of prompts are hexadecimal.
 const MARK: char = '=';
 
+/// Returns whether a part stands for a whole request.
+pub(super) fn is_fingerprint(part: &str) -> bool {
+    part.starts_with(MARK)
+}
+
 /// Returns the fingerprint of a request. It is the same at all routers for requests with the
 /// same target, caller and body.
 pub fn fingerprint(
--- a/lib/src/poison/mod.rs
+++ b/lib/src/poison/mod.rs
@@ -1,11 +1,17 @@
-//! Prompt parts that crash every engine that begins to write an answer on them.
+//! Requests and parts of prompts that crash every endpoint that runs them.
 //!
 //! A [`RunTracker`] watches the runs of one router and turns lost connections into
 //! [`CrashReport`]s and long-lived runs into [`RunSurvival`]s. A [`PoisonDetector`] combines
 //! the evidence of all routers; each router decides for itself which requests it rejects.
 //!
+//! A request is charged as well, under its fingerprint, which counts as a part that only equal
+//! requests share.
+//!
 //! Guarantees, given the stated evidence:
 //!
+//! - A request that is running at three endpoints when they crash, and has not survived within
+//!   half a minute, is quarantined [`OBJECTION_TIME`] after the third crash, or after the fourth
+//!   if others have crashed without it.
 //! - A part that is in all crashes and never survives is quarantined [`OBJECTION_TIME`]
 //!   after the third moment at which engines crashed; each crash without it makes that one
 //!   moment later, up to two.
--- a/lib/src/poison/run_tracker.rs
+++ b/lib/src/poison/run_tracker.rs
@@ -8,6 +8,7 @@
 use super::CrashReport;
 use super::RunEnd;
 use super::RunSurvival;
+use super::fingerprint::is_fingerprint;
 use crate::ids::EndpointId;
 use crate::ids::PromptPartId;
 use crate::ids::RunNumber;
@@ -73,7 +74,8 @@
 }
 
 impl RunTracker {
-    /// Records that a request is being sent. Runs without parts are not tracked.
+    /// Records that a request is being sent. `parts` are its fingerprint and the parts of its
+    /// prompt that other requests may share; runs without any are not tracked.
     pub fn begin(&mut self, endpoint: &EndpointId, parts: &[PromptPartId]) -> RunNumber {
         if parts.is_empty() || self.runs.len() >= MAX_RUNS {
             return UNTRACKED;
@@ -150,7 +152,7 @@
         if parts.is_empty() {
             return None;
         }
-        self.report(endpoint.clone(), parts, now)
+        self.report(endpoint.clone(), parts.into_iter().collect(), now)
     }
 
     /// Returns the survivals since the last call.
@@ -193,17 +195,22 @@
     }
 
     fn lose(&mut self, run: OpenRun, now: Instant) -> Option<CrashReport> {
-        let mut parts = self.take_finished(&run.endpoint, now);
+        let finished = self.take_finished(&run.endpoint, now);
+        // The parts of the lost run come first, because long reports are cut.
+        let mut parts = Vec::new();
         if !run.has_survived {
-            parts.extend(run.parts);
+            parts = run.parts;
         }
+        let others = finished.into_iter().filter(|part| !parts.contains(part));
+        let others: Vec<PromptPartId> = others.collect();
+        parts.extend(others);
         self.report(run.endpoint, parts, now)
     }
 
     fn report(
         &mut self,
         endpoint: EndpointId,
-        parts: BTreeSet<PromptPartId>,
+        parts: Vec<PromptPartId>,
         now: Instant,
     ) -> Option<CrashReport> {
         if self.unheard_losses.len() <= MAX_UNHEARD_LOSSES {
@@ -217,7 +224,6 @@
         if is_cut_off || was_down {
             return None;
         }
-        let parts = parts.into_iter().collect();
         Some(CrashReport { endpoint, parts })
     }
 
@@ -227,7 +233,9 @@
         self.finished.retain(|run| {
             let is_lost = run.endpoint == *endpoint && now < run.started_at + SURVIVAL_TIME;
             if is_lost {
-                parts.extend(run.parts.iter().cloned());
+                // A request whose answer was complete has not ended with its endpoint.
+                let shared = run.parts.iter().filter(|part| !is_fingerprint(part));
+                parts.extend(shared.cloned());
             }
             !is_lost
         });
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use insta::assert_snapshot;
 use jujuberoad::ids::PromptPartId;
 use jujuberoad::poison::CrashReport;
 use jujuberoad::poison::PoisonDetector;
@@ -48,6 +49,9 @@
     }
 }
 
+/// Endpoint, time in milliseconds and parts of the runs that a crash ends.
+type RequestCrash = (&'static str, u64, &'static [&'static str]);
+
 /// Crashes a new endpoint every half second, each with runs of these parts.
 fn crash_each(detector: &mut PoisonDetector, start: Instant, crashes: &[&[&str]]) -> Instant {
     let mut now = start;
@@ -323,6 +327,151 @@
     }
 }
 
+/// Guards against one request that ends an endpoint each time it is sent again, beside sound
+/// requests that share its prompt, other crashes and short answers.
+#[test]
+fn a_repeated_request_that_crashes_engines_is_stopped() {
+    for per_s in [1, 4] {
+        let alone = pattern(vec![wave("=repeated", &["first-0"], per_s)]);
+        assert_kept(&format!("repeated, {per_s} a second"), &alone);
+    }
+    let mut beside = pattern(vec![wave("=repeated", &["first-0"], 4)]);
+    beside.other_crashes_ms = 4_000..26_000;
+    assert_all(
+        &run_all("repeated beside other crashes", &beside),
+        is_poison_stopped,
+        "the request goes on",
+    );
+    beside.is_short = true;
+    assert_all(
+        &run_all("repeated, short answers", &beside),
+        is_poison_stopped,
+        "the request goes on",
+    );
+}
+
+/// Guards against a request that is taken for poison late, because its crashes come at once or
+/// beside others, and against sound ones that are taken for it.
+#[test]
+fn crashes_at_three_endpoints_quarantine_a_request() {
+    let cases: [(&str, &[RequestCrash]); 9] = [
+        (
+            "three endpoints",
+            &[
+                ("e1", 0, &["=a"]),
+                ("e2", 400, &["=a"]),
+                ("e3", 800, &["=a"]),
+            ],
+        ),
+        (
+            "at once",
+            &[("e1", 0, &["=a"]), ("e2", 20, &["=a"]), ("e3", 40, &["=a"])],
+        ),
+        ("two endpoints", &[("e1", 0, &["=a"]), ("e2", 400, &["=a"])]),
+        (
+            "one endpoint, one crash",
+            &[("e1", 0, &["=a"]), ("e1", 10, &["=a"]), ("e1", 20, &["=a"])],
+        ),
+        (
+            "beside other crashes",
+            &[
+                ("e1", 0, &["=a"]),
+                ("e4", 100, &["=x"]),
+                ("e2", 400, &["=a"]),
+                ("e5", 500, &["=y"]),
+                ("e3", 800, &["=a"]),
+            ],
+        ),
+        (
+            "four of five beside another crash",
+            &[
+                ("e1", 0, &["=a"]),
+                ("e4", 100, &["=x"]),
+                ("e2", 400, &["=a"]),
+                ("e3", 800, &["=a"]),
+                ("e5", 1_200, &["=a"]),
+            ],
+        ),
+        (
+            "another request beside it each time",
+            &[
+                ("e1", 0, &["=a", "=b"]),
+                ("e2", 400, &["=a", "=b"]),
+                ("e3", 800, &["=a", "=b"]),
+            ],
+        ),
+        (
+            "another request beside it three times of four",
+            &[
+                ("e1", 0, &["=a", "=b"]),
+                ("e2", 400, &["=a", "=b"]),
+                ("e3", 800, &["=a", "=b"]),
+                ("e4", 1_200, &["=a"]),
+            ],
+        ),
+        (
+            "with a part that is in all crashes",
+            &[
+                ("e1", 0, &["=a", "p"]),
+                ("e2", 400, &["=a", "p"]),
+                ("e3", 800, &["=a", "p"]),
+                ("e4", 1_200, &["=c", "p"]),
+            ],
+        ),
+    ];
+    let mut rendered = Vec::new();
+    for (name, crashes) in cases {
+        let start = Instant::now();
+        let mut detector = PoisonDetector::default();
+        let mut next_poll_ms = 0;
+        for (endpoint, at_ms, names) in crashes {
+            while next_poll_ms < *at_ms {
+                detector.poll(start + ms(next_poll_ms));
+                next_poll_ms += 50;
+            }
+            let report = CrashReport {
+                endpoint: (*endpoint).into(),
+                parts: parts(names),
+            };
+            detector.observe_crash(&report, start + ms(*at_ms));
+        }
+        let end = start + ms(next_poll_ms + 1_000);
+        for _ in 0..20 {
+            detector.poll(start + ms(next_poll_ms));
+            next_poll_ms += 50;
+        }
+        let rejected = ["=a p", "=b p", "=c p", "=x", "p"]
+            .into_iter()
+            .filter(|request| {
+                let parts: Vec<&str> = request.split(' ').collect();
+                detector
+                    .find_quarantine(&self::parts(&parts), end)
+                    .is_some()
+            });
+        rendered.push(format!("{name}: {:?}", rejected.collect::<Vec<_>>()));
+    }
+    assert_snapshot!(rendered.join("\n"));
+}
+
+/// Guards against a sound request that is asked for often and is taken for the one that crashes
+/// the endpoints which it runs on as well.
+#[test]
+fn a_request_that_survives_elsewhere_is_not_quarantined() {
+    let start = Instant::now();
+    let mut detector = PoisonDetector::default();
+    detector.observe_survival(&survival("=hot"), start);
+    let end = crash_each(
+        &mut detector,
+        start + ms(100),
+        &[&["=hot"], &["=hot"], &["=hot"]],
+    );
+    for step in 0..20 {
+        detector.poll(end + ms(50 * step));
+    }
+    let hot = parts(&["=hot"]);
+    assert!(detector.find_quarantine(&hot, end + ms(1_000)).is_none());
+}
+
 #[test]
 fn control_without_the_detector_loses_engines_without_end() {
     let mut pattern = pattern(vec![wave("poison", &["first-0"], 4)]);
