gateway: refuse requests at once that no endpoint takes in time

Cause: a request whose router had used up its shares of all endpoints of its service waited for its slot until its own wait was over and was refused then, though the time of the next free share was known when it came. Cold endpoints were the same before limits could be named.

Change: SendPacer tells when the next request may be sent; a request for which that is too late for every endpoint is refused at once, with its own reason in the log.

No load was played on it yet.

--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -45,6 +45,8 @@
     QueueFull,
     /// No slot became free in time.
     NoSlotInTime,
+    /// Every endpoint limits its rate, and this router's shares are used up for too long.
+    RateLimited,
 }
 
 /// A target with a reserved slot; dropping it releases the slot.
@@ -82,6 +84,10 @@
         if !query.is_resumed && ahead > serving {
             return Err(ReserveError::QueueFull);
         }
+        // Peers may lift a limit or leave the list meanwhile, but that is not to be expected.
+        if Self::next_room_at(core, query, targets).is_none_or(|at| at > query.queue_deadline) {
+            return Err(ReserveError::RateLimited);
+        }
         let priority = if query.is_resumed {
             0
         } else {
@@ -103,6 +109,26 @@
         }
     }
 
+    /// Returns when this router's share of the rate of some target allows the next request;
+    /// `None` if it has no share of any.
+    fn next_room_at(
+        core: &GatewayCore,
+        query: &TargetQuery,
+        targets: &[ServingTarget],
+    ) -> Option<Instant> {
+        let now = Instant::now();
+        let limits = core.limits.lock().expect("limit lock");
+        let divider = core.quota_divider.lock().expect("quota divider lock");
+        let pacer = core.pacer.lock().expect("pacer lock");
+        let targets = targets.iter();
+        let untried = targets.filter(|target| !query.tried.contains(&target.endpoint));
+        let rooms = untried.filter_map(|target| {
+            let limits = rate_limits(target, &limits, now);
+            pacer.room_at(&target.endpoint, limits, &divider, now)
+        });
+        rooms.min()
+    }
+
     fn try_reserve(core: &Arc<GatewayCore>, query: &TargetQuery) -> Option<Self> {
         let view = core.fleet.view();
         let targets = view.targets.pool(&query.pool);
--- a/lib/src/fleet/send_log.rs
+++ b/lib/src/fleet/send_log.rs
@@ -17,14 +17,19 @@
 }
 
 impl SendLog {
-    /// Returns the number of requests sent to `endpoint` in the last `window`, which must not
-    /// exceed [`SEND_RETENTION`].
-    pub fn count_within(&self, endpoint: &str, window: Duration, now: Instant) -> usize {
-        let Some(sends) = self.sends.get(endpoint) else {
-            return 0;
-        };
-        let recent = sends.iter().rev().take_while(|at| now < **at + window);
-        recent.count()
+    /// Returns when fewer than `share` requests have been sent to `endpoint` in the last `window`,
+    /// which must not exceed [`SEND_RETENTION`]; `None` if `share` is 0.
+    pub fn room_at(
+        &self,
+        endpoint: &str,
+        share: u32,
+        window: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
+        let index = share.checked_sub(1)? as usize;
+        let sends = self.sends.get(endpoint);
+        let last = sends.and_then(|sends| sends.iter().rev().nth(index));
+        Some(last.map_or(now, |last| now.max(*last + window)))
     }
 
     /// Records a request that is sent to `endpoint`.
--- a/lib/src/fleet/send_pacer.rs
+++ b/lib/src/fleet/send_pacer.rs
@@ -50,25 +50,33 @@
         divider: &QuotaDivider,
         now: Instant,
     ) -> bool {
+        self.room_at(endpoint, limits, divider, now) == Some(now)
+    }
+
+    /// Returns when this router may send the next request to `endpoint`; `None` if it has no
+    /// share of what the endpoint takes.
+    pub fn room_at(
+        &self,
+        endpoint: &EndpointId,
+        limits: RateLimits,
+        divider: &QuotaDivider,
+        now: Instant,
+    ) -> Option<Instant> {
+        let mut room_at = now;
         if let Some(per_second) = limits.cold_per_second {
             let share = divider.share_of(endpoint, per_second, now);
-            if !self.has_room(endpoint, share, COLD_WINDOW, now) {
-                return false;
-            }
+            room_at = self.log.room_at(endpoint, share, COLD_WINDOW, now)?;
         }
         let Some(limit) = limits.named else {
-            return true;
+            return Some(room_at);
         };
         let (requests, span) = limit_quota(limit);
         let share = divider.share_of(endpoint, requests as f64, now);
         let window = span + TRANSIT_MARGIN;
-        self.has_room(endpoint, share, window, now)
-            && self.has_room(
-                endpoint,
-                share.div_ceil(PACE_PARTS),
-                window / PACE_PARTS,
-                now,
-            )
+        let part = share.div_ceil(PACE_PARTS);
+        let paced_at = self.log.room_at(endpoint, part, window / PACE_PARTS, now)?;
+        let share_at = self.log.room_at(endpoint, share, window, now)?;
+        Some(room_at.max(paced_at).max(share_at))
     }
 
     /// Records a request that is sent to `endpoint`.
@@ -80,10 +88,6 @@
     pub fn prune(&mut self, now: Instant) {
         self.log.prune(now);
     }
-
-    fn has_room(&self, endpoint: &str, share: u32, window: Duration, now: Instant) -> bool {
-        self.log.count_within(endpoint, window, now) < share as usize
-    }
 }
 
 /// Returns how many requests a limit allows all routers together, and in which span.
--- a/lib/tests/test_request_limits.rs
+++ b/lib/tests/test_request_limits.rs
@@ -8,12 +8,26 @@
 use insta::assert_snapshot;
 use jujuberoad::fleet::LimitStatement;
 use jujuberoad::fleet::LimitTable;
+use jujuberoad::fleet::QuotaDivider;
+use jujuberoad::fleet::RateLimits;
+use jujuberoad::fleet::SendPacer;
+use smol_str::format_smolstr;
 use testutils::limit_sim::LimitOutcome;
 use testutils::limit_sim::LimitPhase;
 use testutils::limit_sim::LimitRule;
 use testutils::limit_sim::LimitScenario;
 use testutils::limit_sim::LimitSim;
 
+/// Name, number of routers, rate while cold, limit per 1,000 s, and how long ago each request was
+/// sent in milliseconds.
+type RoomCase = (
+    &'static str,
+    usize,
+    Option<f64>,
+    Option<u64>,
+    &'static [u64],
+);
+
 /// Limit of a statement, when it was asked for and when it was answered.
 type StatementCase = (Option<u64>, u64, u64);
 
@@ -132,6 +146,64 @@
     }
 }
 
+/// Guards against requests that wait for an endpoint which takes none in time.
+#[test]
+fn the_next_room_of_a_router_is_known() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(20);
+    let divider = |routers: usize| {
+        let mut divider = QuotaDivider::new("r0".into(), 10_000);
+        (1..routers).for_each(|index| divider.add(&format_smolstr!("r{index}")));
+        divider.list_read(start);
+        divider
+    };
+    let cases: [RoomCase; 9] = [
+        ("no limit", 1, None, None, &[900, 10, 5]),
+        ("limit of 2 a second, idle", 1, None, Some(2_000), &[]),
+        (
+            "limit of 2 a second, paced",
+            1,
+            None,
+            Some(2_000),
+            &[600, 500],
+        ),
+        (
+            "limit of 2 a second, used up",
+            1,
+            None,
+            Some(2_000),
+            &[4_100, 3_000, 3_000, 2_000, 2_000, 1_900, 1_800, 1_700],
+        ),
+        ("limit of 0.2 a second", 1, None, Some(200), &[1_000]),
+        ("limit of none", 1, None, Some(0), &[1_000]),
+        (
+            "limit of 2 a second, 400 routers",
+            400,
+            None,
+            Some(2_000),
+            &[],
+        ),
+        ("cold", 1, Some(2.0), None, &[800, 700]),
+        ("cold and limited", 1, Some(2.0), Some(200), &[800, 700]),
+    ];
+    let mut rendered = Vec::new();
+    for (name, routers, cold_per_second, named, sent_ms_ago) in cases {
+        let mut pacer = SendPacer::default();
+        for ago in sent_ms_ago {
+            pacer.record_send(&"e1".into(), now - Duration::from_millis(*ago));
+        }
+        let limits = RateLimits {
+            cold_per_second,
+            named,
+        };
+        let room_at = pacer.room_at(&"e1".into(), limits, &divider(routers), now);
+        let wait = room_at.map(|room_at| room_at - now);
+        let is_free = pacer.may_send(&"e1".into(), limits, &divider(routers), now);
+        rendered.push(format!("{name}: {wait:?} {is_free}"));
+    }
+    assert_snapshot!(rendered.join("\n"));
+}
+
 /// Guards against a limit that an older response brings back or lifts too early.
 #[test]
 fn the_order_of_statements_decides() {
