gateway: a request waits for endpoints that are warm in time

Change: while the list of routers is not settled nothing is refused for its rate, and the end of the cold time counts as room.

--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -109,8 +109,8 @@
         }
     }
 
-    /// Returns when this router's share of the rate of some target allows the next request;
-    /// `None` if it has no share of any.
+    /// Returns when this router's share of the rate of some target allows the next request, or
+    /// when a cold one is warm; `None` if it has no share of any.
     fn next_room_at(
         core: &GatewayCore,
         query: &TargetQuery,
@@ -120,11 +120,21 @@
         let limits = core.limits.lock().expect("limit lock");
         let divider = core.quota_divider.lock().expect("quota divider lock");
         let pacer = core.pacer.lock().expect("pacer lock");
+        if !divider.is_settled(now) {
+            return Some(now);
+        }
         let targets = targets.iter();
         let untried = targets.filter(|target| !query.tried.contains(&target.endpoint));
         let rooms = untried.filter_map(|target| {
             let limits = rate_limits(target, &limits, now);
-            pacer.room_at(&target.endpoint, limits, &divider, now)
+            let room_at = |limits| pacer.room_at(&target.endpoint, limits, &divider, now);
+            let warm = RateLimits {
+                cold_per_second: None,
+                ..limits
+            };
+            let warm_at = target.cold_until.unwrap_or(now);
+            let warm_room_at = room_at(warm).map(|at| at.max(warm_at));
+            room_at(limits).into_iter().chain(warm_room_at).min()
         });
         rooms.min()
     }
--- a/lib/src/fleet/quota_divider.rs
+++ b/lib/src/fleet/quota_divider.rs
@@ -63,9 +63,14 @@
         }
     }
 
+    /// Returns whether the number of routers is known.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.settles_at.is_some_and(|at| at <= now)
+    }
+
     /// Returns the number of routers that count, including this one.
     pub fn router_count(&self, now: Instant) -> usize {
-        if self.settles_at.is_none_or(|at| now < at) {
+        if !self.is_settled(now) {
             return ASSUMED_ROUTER_COUNT;
         }
         1 + self.counted_routers(now).count()
@@ -77,7 +82,7 @@
     /// The shares of all routers add up to `total`, rounded down. Rendezvous hashing
     /// assigns the remainder, so different routers get it for different endpoints.
     pub fn share_of(&self, endpoint: &str, total: f64, now: Instant) -> u32 {
-        if self.settles_at.is_none_or(|at| now < at) {
+        if !self.is_settled(now) {
             return 0;
         }
         let total = total.max(0.0) as usize;
