--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -719,6 +719,15 @@
     assert_history(&pattern, 17);
 }
 
+// Guards against the same, with other draws.
+#[test]
+fn history_108_of_short_answers_with_a_rare_part() {
+    let mut pattern = pattern(vec![wave("poison", &["rare-0"], 8)]);
+    pattern.is_short = true;
+    pattern.other_crashes_ms = 5_000..25_000;
+    assert_history(&pattern, 108);
+}
+
 // Guards against a part that counts as proven by a short answer whose engine crashed unseen.
 #[test]
 fn history_131_of_short_answers_beside_other_crashes() {
