fleet: shares of absurdly large rates, one type a file

Cause: an endpoint that names more requests a second than a count of 32 bits holds could have got a share of 0 by a cut number. Read, not seen.

Change: such a share is the largest one. RateLimits has a file of its own; two comments are told better.

Measured: the table of shares has such a limit; the tests of limits and of the fleet pass.

--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -107,8 +107,8 @@
             .with_retry_at(self.pick_retry_at())
     }
 
-    /// Returns the reply to a request that is quarantined, itself or by its prompt, or `None` if it is not;
-    /// `runs` attempts may have been executed.
+    /// Returns the reply to a request that is quarantined, itself or by its prompt, or `None` if
+    /// it is not; `runs` attempts may have been executed.
     pub(crate) fn quarantine_reply(&self, core: &GatewayCore, runs: u32) -> Option<LocalReply> {
         let quarantine = core.poison.find_quarantine(&self.crash_parts)?;
         let crashes = quarantine.crashes;
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -83,6 +83,7 @@
     pub(crate) quota_divider: Mutex<QuotaDivider>,
     /// Limits on the rate of requests that endpoints have named.
     pub(crate) limits: Mutex<LimitTable>,
+    /// Limits that peers have to be told of.
     pub(crate) limit_outbox: Mutex<LimitOutbox>,
     pub(crate) store_breaker: Mutex<CircuitBreaker>,
     pub(crate) avoided: Mutex<AvoidList>,
--- a/lib/src/fleet/quota_divider.rs
+++ b/lib/src/fleet/quota_divider.rs
@@ -88,7 +88,8 @@
         let total = total.max(0.0) as usize;
         let count = self.router_count(now);
         let gets_remainder = self.rank_for(endpoint, now) < total % count;
-        (total / count + usize::from(gets_remainder)) as u32
+        let share = total / count + usize::from(gets_remainder);
+        u32::try_from(share).unwrap_or(u32::MAX)
     }
 
     /// Returns the number of known routers before this one in the order by rendezvous hash for
--- a/lib/src/fleet/send_pacer.rs
+++ b/lib/src/fleet/send_pacer.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::QuotaDivider;
+use super::RateLimits;
 use super::SendLog;
 use crate::ids::EndpointId;
 use crate::ids::RequestRate;
@@ -23,15 +24,6 @@
 /// Parts of a window over which a router spreads its share of a named limit.
 const PACE_PARTS: u32 = 4;
 
-/// Rates of requests that an endpoint takes from all routers together.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RateLimits {
-    /// Requests per second while the endpoint is cold; `None` if it is warm.
-    pub cold_per_second: Option<f64>,
-    /// Limit that the endpoint has named.
-    pub named: Option<RequestRate>,
-}
-
 /// Counts this router's requests to each endpoint against its share of what the endpoint takes.
 ///
 /// Each router counts only its own requests, and the shares add up to at most the rate, so the
--- a/lib/tests/test_request_limits.rs
+++ b/lib/tests/test_request_limits.rs
@@ -157,7 +157,7 @@
         divider.list_read(start);
         divider
     };
-    let cases: [RoomCase; 9] = [
+    let cases: [RoomCase; 10] = [
         ("no limit", 1, None, None, &[900, 10, 5]),
         ("limit of 2 a second, idle", 1, None, Some(2_000), &[]),
         (
@@ -183,6 +183,7 @@
             Some(2_000),
             &[],
         ),
+        ("limit beyond all numbers", 3, None, Some(u64::MAX), &[0]),
         ("cold", 1, Some(2.0), None, &[800, 700]),
         ("cold and limited", 1, Some(2.0), Some(200), &[800, 700]),
     ];
