--- a/lib/src/poison/crash_explainer.rs
+++ b/lib/src/poison/crash_explainer.rs
@@ -49,8 +49,6 @@
     open_events: Vec<bool>,
     /// Unexplained events by part; only parts that may be poison.
     charges: HashMap<&'a PromptPartId, Vec<usize>>,
-    /// The same by fingerprint.
-    request_charges: HashMap<&'a PromptPartId, Vec<usize>>,
 }
 
 /// How well a part explains events: whether it is unproven, moments, events. An unproven
@@ -74,40 +72,17 @@
             }
         }
         charges.retain(|_, events| events.len() >= UNPROVEN_MOMENTS);
-        let (request_charges, charges) = charges
-            .into_iter()
-            .partition(|(part, _)| is_fingerprint(part));
         Self {
             events,
             survivals,
             held,
             open_events: vec![true; events.len()],
             charges,
-            request_charges,
         }
     }
 
-    /// Returns the explanations, the best first: by parts of prompts, and by single requests what
-    /// no part explains.
+    /// Returns the explanations, the best first.
     pub(super) fn explain(mut self) -> Vec<CrashExplanation> {
-        let mut explanations = self.explain_by_parts();
-        self.charges = std::mem::take(&mut self.request_charges);
-        self.discharge(&BTreeSet::new());
-        while let Some(weight) = self.best_weight() {
-            let rivals = self.rivals(weight);
-            for (events, fingerprints) in &rivals {
-                // No request has two fingerprints.
-                for fingerprint in fingerprints {
-                    let parts = BTreeSet::from([fingerprint.clone()]);
-                    explanations.push(self.explanation(&parts, events, false));
-                }
-            }
-            self.discharge(&rivals.into_values().flatten().collect());
-        }
-        explanations
-    }
-
-    fn explain_by_parts(&mut self) -> Vec<CrashExplanation> {
         let mut explanations = Vec::new();
         while let Some(weight) = self.best_weight() {
             let rivals = self.rivals(weight);
@@ -115,7 +90,10 @@
                 let mut others = rivals.keys().filter(|other| *other != events);
                 let has_rival = others.any(|other| other.iter().any(|e| events.contains(e)));
                 let is_disputed = has_rival && weight.1 < TIE_MOMENTS;
-                explanations.push(self.explanation(parts, events, is_disputed));
+                for parts in split_fingerprints(parts) {
+                    let is_disputed = is_disputed && !parts.iter().any(|part| is_fingerprint(part));
+                    explanations.push(self.explanation(&parts, events, is_disputed));
+                }
             }
             let poison: BTreeSet<PromptPartId> = rivals.into_values().flatten().collect();
             self.discharge(&poison);
@@ -216,3 +194,14 @@
         });
     }
 }
+
+/// Returns the sets of parts that one request can hold: a request has one fingerprint.
+fn split_fingerprints(parts: &BTreeSet<PromptPartId>) -> Vec<BTreeSet<PromptPartId>> {
+    let (fingerprints, shared): (Vec<_>, Vec<_>) =
+        parts.iter().cloned().partition(|part| is_fingerprint(part));
+    if fingerprints.is_empty() {
+        return vec![parts.clone()];
+    }
+    let with_shared = |fingerprint| shared.iter().cloned().chain([fingerprint]).collect();
+    fingerprints.into_iter().map(with_shared).collect()
+}
