--- a/lib/src/poison/fingerprint.rs
+++ b/lib/src/poison/fingerprint.rs
@@ -1,4 +1,4 @@
-//! Identifies requests that are equal as far as an endpoint can tell.
+//! Identifies requests with the same target, caller and body, whatever their ids and headers.
 
 use smol_str::format_smolstr;
 use xxhash_rust::xxh3::Xxh3;
