node: a connection ends a flood of interim responses by itself

Cause: the limit of 16 interim responses was enforced by the task of the request, while the connection's task read on until that one had its turn. The first future of an executor is polled only once in 200 tasks, and each turn of the connection reads up to 32 buffers.

The receive buffers of this kernel (32 MiB at most) fill only as long as the reader takes bytes.

Change: the count of interim responses belongs to the connection, whose reads fail once it is exceeded. The channel and the second future are gone.

--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,12 +18,12 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use jujuberoad::ids::Milliseconds;
-use smol::channel;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
 use super::HttpReply;
 use super::PooledBody;
+use super::interim_counter::InterimCounter;
 use super::set_liveness_options;
 use super::yielding_stream::YieldingStream;
 use crate::backends::CallError;
@@ -47,8 +45,6 @@
 
 /// Maximum size of a response head. Heads of endpoints hold a few hundred bytes.
 const MAX_HEAD_BYTES: usize = 128 << 10;
-/// Maximum number of interim responses (1xx) before a response.
-const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// Reuses connections that have been idle for a short time only.
 ///
@@ -62,8 +58,14 @@
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
-struct IdleConnection {
+/// A connection that no other request uses.
+pub(super) struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
+    interim: Arc<InterimCounter>,
+}
+
+struct IdleConnection {
+    connection: PooledConnection,
     expires_at: Instant,
 }
 
@@ -108,13 +110,16 @@
         } else {
             self.take_idle(address)
         };
-        let mut sender = match idle {
-            Some(sender) => sender,
+        let mut connection = match idle {
+            Some(connection) => connection,
             None => self.connect(address, head_deadline).await?,
         };
         let mut pending = request;
         for _ in 0..2 {
-            match self.try_send(sender, address, pending, head_deadline).await {
+            match self
+                .try_send(connection, address, pending, head_deadline)
+                .await
+            {
                 Ok(response) => return Ok(response),
                 Err(SendFailure {
                     error,
@@ -125,7 +130,7 @@
                     ..
                 }) => pending = request,
             }
-            sender = self.connect(address, head_deadline).await?;
+            connection = self.connect(address, head_deadline).await?;
         }
         Err(CallError::unsent(
             CallStep::Send,
@@ -189,40 +194,30 @@
         })
     }
 
-    pub(super) fn put_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+    pub(super) fn put_idle(&self, address: SocketAddr, connection: PooledConnection) {
         let mut idle = self.idle.lock().expect("pool lock");
         let connections = idle.entry(address).or_default();
-        if sender.is_closed() || connections.len() >= MAX_IDLE_PER_PEER {
+        if connection.sender.is_closed() || connections.len() >= MAX_IDLE_PER_PEER {
             return;
         }
         connections.push(IdleConnection {
-            sender,
+            connection,
             expires_at: Instant::now() + MAX_IDLE_TIME,
         });
     }
 
     async fn try_send(
         self: &Arc<Self>,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut connection: PooledConnection,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         head_deadline: Instant,
     ) -> Result<Response<PooledBody>, SendFailure> {
-        let (limit, limit_reached) = channel::bounded::<()>(1);
-        let counted_limit = limit.clone();
-        let interim_count = AtomicUsize::new(0);
-        hyper::ext::on_informational(&mut request, move |_| {
-            if interim_count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
-                counted_limit.close();
-            }
-        });
-        let flooded = async {
-            // Nothing is ever sent; the channel is closed when the limit is reached.
-            let _ = limit_reached.recv().await;
-            None
-        };
-        let sent = async { Some(sender.try_send_request(request).await) };
-        let Some(sent) = before_deadline(head_deadline, sent.or(flooded)).await else {
+        connection.interim.reset();
+        let interim = Arc::clone(&connection.interim);
+        hyper::ext::on_informational(&mut request, move |_| interim.record());
+        let sent = connection.sender.try_send_request(request);
+        let Some(sent) = before_deadline(head_deadline, sent).await else {
             self.discard_idle(address);
             let error = CallError::sent(CallStep::Send, address, "deadline passed");
             return Err(SendFailure {
@@ -230,27 +225,20 @@
                 unsent: None,
             });
         };
-        drop(limit);
-        let Some(sent) = sent else {
-            let error = CallError::sent(CallStep::Limit, address, "too many interim responses");
-            return Err(SendFailure {
-                error,
-                unsent: None,
-            });
-        };
         match sent {
             Ok(response) => {
                 let pool = Arc::clone(self);
-                Ok(response.map(|body| PooledBody::new(body, address, pool, sender)))
+                Ok(response.map(|body| PooledBody::new(body, address, pool, connection)))
             }
             Err(mut failure) => {
                 let unsent = failure.take_message();
-                let step = if failure.error().is_parse_too_large() {
-                    CallStep::Limit
+                let error = if connection.interim.is_exceeded() {
+                    CallError::sent(CallStep::Limit, address, "too many interim responses")
+                } else if failure.error().is_parse_too_large() {
+                    CallError::sent(CallStep::Limit, address, failure.error())
                 } else {
-                    CallStep::Send
+                    CallError::sent(CallStep::Send, address, failure.error())
                 };
-                let error = CallError::sent(step, address, failure.error());
                 Err(SendFailure { error, unsent })
             }
         }
@@ -260,7 +248,7 @@
         &self,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    ) -> Result<PooledConnection, CallError> {
         let deadline =
             deadline.min(Instant::now() + Duration::from_millis(self.connect_timeout_ms));
         let stream = before_deadline(deadline, TcpStream::connect(address))
@@ -269,29 +257,31 @@
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
         set_liveness_options(&stream, self.unacknowledged_ms)
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
+        let interim: Arc<InterimCounter> = Arc::default();
+        let stream = YieldingStream::new(stream, Arc::clone(&interim));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(FuturesIo::new(YieldingStream::new(stream)))
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
         runtime::spawn(async move {
             // Errors of the connection are also returned by the sender.
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(PooledConnection { sender, interim })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().expect("pool lock");
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if now >= connection.expires_at {
+        while let Some(idle) = connections.pop() {
+            if now >= idle.expires_at {
                 connections.clear();
                 return None;
             }
-            if connection.sender.is_ready() {
-                return Some(connection.sender);
+            if idle.connection.sender.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod http_pool;
 mod http_reply;
 mod http_server;
+mod interim_counter;
 mod pooled_body;
 mod reply_body;
 mod server_limits;
--- a/node/src/http/pooled_body.rs
+++ b/node/src/http/pooled_body.rs
@@ -7,15 +7,14 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
-use hyper::client::conn::http1::SendRequest;
 
 use super::BodyError;
 use super::HttpPool;
+use super::http_pool::PooledConnection;
 
 /// Returns its connection to the pool once it has been read to its end.
 ///
@@ -25,7 +24,7 @@
     incoming: Incoming,
     address: SocketAddr,
     pool: Arc<HttpPool>,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<PooledConnection>,
 }
 
 impl PooledBody {
@@ -33,13 +32,13 @@
         incoming: Incoming,
         address: SocketAddr,
         pool: Arc<HttpPool>,
-        sender: SendRequest<Full<Bytes>>,
+        connection: PooledConnection,
     ) -> Self {
         let mut body = Self {
             incoming,
             address,
             pool,
-            sender: Some(sender),
+            connection: Some(connection),
         };
         body.release_at_end();
         body
@@ -49,8 +48,8 @@
         if !self.incoming.is_end_stream() {
             return;
         }
-        if let Some(sender) = self.sender.take() {
-            self.pool.put_idle(self.address, sender);
+        if let Some(connection) = self.connection.take() {
+            self.pool.put_idle(self.address, connection);
         }
     }
 }
@@ -66,7 +65,7 @@
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
         match polled {
             Poll::Ready(Some(Err(error))) => {
-                self.sender = None;
+                self.connection = None;
                 Poll::Ready(Some(Err(BodyError(error.to_string()))))
             }
             Poll::Ready(Some(Ok(frame))) => {
--- a/node/src/http/yielding_stream.rs
+++ b/node/src/http/yielding_stream.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -9,21 +10,28 @@
 use futures_lite::AsyncWrite;
 use smol::net::TcpStream;
 
+use super::interim_counter::InterimCounter;
+
 /// Number of successive reads after which a reader must wait for its next turn.
 const READS_PER_TURN: u32 = 32;
 
 /// A connection whose reader is interrupted after [`READS_PER_TURN`] reads.
 ///
-/// The HTTP library reads a response head in one go as long as bytes arrive. A peer that sends
-/// interim responses without end would otherwise occupy the executor's thread for good.
+/// The HTTP library reads a response head in one go as long as bytes arrive, past any number of
+/// interim responses. Reads fail once there are too many of them.
 pub(super) struct YieldingStream {
     inner: TcpStream,
+    interim: Arc<InterimCounter>,
     reads: u32,
 }
 
 impl YieldingStream {
-    pub(super) fn new(inner: TcpStream) -> Self {
-        Self { inner, reads: 0 }
+    pub(super) fn new(inner: TcpStream, interim: Arc<InterimCounter>) -> Self {
+        Self {
+            inner,
+            interim,
+            reads: 0,
+        }
     }
 }
 
@@ -33,6 +41,9 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if self.interim.is_exceeded() {
+            return Poll::Ready(Err(io::Error::other("too many interim responses")));
+        }
         if self.reads >= READS_PER_TURN {
             self.reads = 0;
             cx.waker().wake_by_ref();
