poison, gateway: an opened connection proves that a router is not cut off

Cause: a router that hears no endpoint takes its third loss for a cut of its own and reports two endpoints at most; and crashes of one endpoint within 1 s count as one, though it was up in between. Routers without other traffic, in front of endpoints that are back at once, needed more than three crashes to stop a request.

Change: the pool tells when the connection of a failed call was opened. Losses before that time, and before the head of a response, no longer count as a cut, and events before it are no part of the same crash. The wire format stays as it is; peers merge crashes within 1 s as before.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -142,6 +142,7 @@
                 return AttemptEnd::MayHaveRun(error);
             }
         };
+        run.record_contact(Instant::now());
         let status = answer.response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.core.handle_misdirected(&reserved.target);
--- a/gateway/src/poison_guard.rs
+++ b/gateway/src/poison_guard.rs
@@ -60,6 +60,12 @@
         tracker.record_event(run, now);
     }
 
+    /// Records that the endpoint of a run was in contact.
+    pub(crate) fn record_contact(&self, run: RunNumber, contact_at: Instant) {
+        let mut tracker = self.tracker.lock().expect("tracker lock");
+        tracker.record_contact(run, contact_at);
+    }
+
     /// Records the end of a run; returns whether its endpoint seems to have crashed.
     pub(crate) fn end_run(&self, run: RunNumber, end: RunEnd, now: Instant) -> bool {
         let report = {
--- a/gateway/src/run_watch.rs
+++ b/gateway/src/run_watch.rs
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Records that the endpoint was in contact at `contact_at`: a connection was opened, or
+    /// the head of a response arrived.
+    pub(crate) fn record_contact(&self, contact_at: Instant) {
+        self.core.poison.record_contact(self.number, contact_at);
+    }
+
     /// Records an event of the answer.
     pub(crate) fn record_event(&mut self) {
         let now = Instant::now();
@@ -60,6 +66,9 @@
         let is_io_step = matches!(error.step, CallStep::Send | CallStep::Read);
         let is_in_time = Instant::now() < self.request.deadline;
         if error.was_sent && is_io_step && is_in_time {
+            if let Some(opened_at) = error.connected_at {
+                self.record_contact(opened_at);
+            }
             self.record_lost();
         }
     }
--- a/gateway/src/stream_attempt.rs
+++ b/gateway/src/stream_attempt.rs
@@ -92,6 +92,7 @@
                 return AttemptEnd::MayHaveRun(error);
             }
         };
+        guard.run.record_contact(Instant::now());
         let status = answer.response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.core.handle_misdirected(&guard.reserved.target);
--- a/lib/src/poison/crash_event.rs
+++ b/lib/src/poison/crash_event.rs
@@ -8,8 +8,8 @@
 use crate::ids::EndpointId;
 use crate::ids::PromptPartId;
 
-/// Time for which reports of one endpoint belong to the same crash. An endpoint takes
-/// longer to start again.
+/// Time for which reports of one endpoint belong to the same crash, unless the endpoint was
+/// reached in between.
 const CRASH_SPAN: Duration = Duration::from_secs(1);
 /// Maximum number of parts of a crash; an engine runs fewer prompts at a time.
 const MAX_EVENT_PARTS: usize = 256;
@@ -36,7 +36,10 @@
 
     /// Returns whether a report that arrives now belongs to this crash.
     pub(super) fn includes(&self, report: &CrashReport, now: Instant) -> bool {
-        self.endpoint == report.endpoint && now < self.happened_at + CRASH_SPAN
+        let was_up_since = report
+            .reached_at
+            .is_some_and(|reached_at| self.happened_at < reached_at);
+        self.endpoint == report.endpoint && !was_up_since && now < self.happened_at + CRASH_SPAN
     }
 
     /// Adds the parts of another report.
--- a/lib/src/poison/crash_report.rs
+++ b/lib/src/poison/crash_report.rs
@@ -1,5 +1,7 @@
 //! Evidence that an endpoint crashed.
 
+use std::time::Instant;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -20,6 +22,9 @@
     pub endpoint: EndpointId,
     /// Parts of the prompt that other requests may share.
     pub parts: Vec<PromptPartId>,
+    /// Time at which the endpoint was last up, as far as the lost run shows. Peers are not told.
+    #[serde(skip)]
+    pub reached_at: Option<Instant>,
 }
 
 impl CrashReport {
--- a/lib/src/poison/mod.rs
+++ b/lib/src/poison/mod.rs
@@ -24,8 +24,9 @@
 //!   only together with a second one, since its engine may have crashed unseen.
 //! - A short answer clears a part that is charged with crashes only if its endpoint was heard
 //!   afterwards.
-//! - A router that hears no endpoint reports losses at [`MAX_UNHEARD_LOSSES`] endpoints at
-//!   most, so that it charges no part often enough for a quarantine.
+//! - A router that hears no endpoint and opens no connection to any reports losses at
+//!   [`MAX_UNHEARD_LOSSES`] endpoints at most, so that it charges no part often enough for a
+//!   quarantine.
 //! - A survival or a better explanation lifts a quarantine again.
 //! - All state is bounded in number and pruned by time.
 
--- a/lib/src/poison/run_tracker.rs
+++ b/lib/src/poison/run_tracker.rs
@@ -1,5 +1,6 @@
 //! The runs of one router.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,8 +17,8 @@
 /// Time after its first event for which a run must live to clear its parts. Engines crash
 /// up to 0.3 s after they have begun to write.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// Number of endpoints whose losses are reported before any endpoint is heard again. A
-/// router that loses more is cut off itself.
+/// Number of endpoints whose losses are reported before any endpoint is heard or reached
+/// again. A router that loses more is cut off itself.
 pub const MAX_UNHEARD_LOSSES: usize = 2;
 /// Time in which an event of another run at the same endpoint proves that a complete answer
 /// did not crash it. Engines that crash are back after some seconds.
@@ -41,7 +42,8 @@
     last_number: RunNumber,
     runs: HashMap<RunNumber, OpenRun>,
     endpoints: HashMap<EndpointId, EndpointWatch>,
-    unheard_losses: BTreeSet<EndpointId>,
+    /// Endpoints lost since any was heard or reached, and when.
+    unheard_losses: BTreeMap<EndpointId, Instant>,
     finished: Vec<FinishedRun>,
     survivals: Vec<RunSurvival>,
 }
@@ -50,6 +52,8 @@
 struct OpenRun {
     endpoint: EndpointId,
     parts: Vec<PromptPartId>,
+    /// Last contact with the endpoint over the connection of this run.
+    reached_at: Option<Instant>,
     started_at: Option<Instant>,
     has_survived: bool,
 }
@@ -67,7 +71,7 @@
 #[derive(Clone, Debug, Default)]
 struct EndpointWatch {
     open_runs: usize,
-    /// First loss since the endpoint was last heard.
+    /// First loss since the endpoint was last heard or reached.
     lost_at: Option<Instant>,
     /// Last event of any run.
     heard_at: Option<Instant>,
@@ -89,6 +93,7 @@
         let run = OpenRun {
             endpoint: endpoint.clone(),
             parts: parts.to_vec(),
+            reached_at: None,
             started_at: None,
             has_survived: false,
         };
@@ -102,6 +107,7 @@
             return;
         };
         self.unheard_losses.clear();
+        run.reached_at = Some(now);
         if let Some(watch) = self.endpoints.get_mut(&run.endpoint) {
             watch.lost_at = None;
             watch.heard_at = Some(now);
@@ -122,6 +128,20 @@
         }
     }
 
+    /// Records that the endpoint of a run accepted a connection or began to answer at
+    /// `contact_at`: by then it was up, and the router was not cut off.
+    pub fn record_contact(&mut self, run: RunNumber, contact_at: Instant) {
+        let Some(run) = self.runs.get_mut(&run) else {
+            return;
+        };
+        run.reached_at = run.reached_at.max(Some(contact_at));
+        self.unheard_losses
+            .retain(|_, lost_at| contact_at <= *lost_at);
+        if let Some(watch) = self.endpoints.get_mut(&run.endpoint) {
+            watch.lost_at = watch.lost_at.filter(|lost_at| contact_at <= *lost_at);
+        }
+    }
+
     /// Records the end of a run; returns what to tell all routers if its endpoint seems to
     /// have crashed. The report may be without parts: it then only tells that complete
     /// answers of that endpoint prove nothing.
@@ -152,7 +172,7 @@
         if parts.is_empty() {
             return None;
         }
-        self.report(endpoint.clone(), parts.into_iter().collect(), now)
+        self.report(endpoint.clone(), parts.into_iter().collect(), None, now)
     }
 
     /// Returns the survivals since the last call.
@@ -204,17 +224,18 @@
         let others = finished.into_iter().filter(|part| !parts.contains(part));
         let others: Vec<PromptPartId> = others.collect();
         parts.extend(others);
-        self.report(run.endpoint, parts, now)
+        self.report(run.endpoint, parts, run.reached_at, now)
     }
 
     fn report(
         &mut self,
         endpoint: EndpointId,
         parts: Vec<PromptPartId>,
+        reached_at: Option<Instant>,
         now: Instant,
     ) -> Option<CrashReport> {
         if self.unheard_losses.len() <= MAX_UNHEARD_LOSSES {
-            self.unheard_losses.insert(endpoint.clone());
+            self.unheard_losses.insert(endpoint.clone(), now);
         }
         let is_cut_off = self.unheard_losses.len() > MAX_UNHEARD_LOSSES;
         let watch = self.endpoints.get_mut(&endpoint)?;
@@ -224,7 +245,11 @@
         if is_cut_off || was_down {
             return None;
         }
-        Some(CrashReport { endpoint, parts })
+        Some(CrashReport {
+            endpoint,
+            parts,
+            reached_at,
+        })
     }
 
     /// Removes the complete runs whose survival a crash of their endpoint refutes.
--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -60,6 +60,7 @@
         let report = CrashReport {
             endpoint,
             parts: parts(names),
+            reached_at: None,
         };
         detector.observe_crash(&report, now);
         detector.poll(now);
@@ -163,6 +164,95 @@
     assert_eq!(reports, 2);
 }
 
+// Guards against a router without other traffic that takes itself for cut off, though it opens
+// a new connection for each request, and a cut whose losses all come after their connections.
+#[test]
+fn a_router_that_opens_connections_reports_all_losses() {
+    // Time of each loss, of the opening of its connection, and whether it is reported.
+    let cases: [(&str, &[(u64, u64, bool)]); 3] = [
+        (
+            "a connection for each",
+            &[
+                (100, 50, true),
+                (200, 150, true),
+                (300, 250, true),
+                (400, 350, true),
+            ],
+        ),
+        (
+            "a cut of open connections",
+            &[
+                (500, 100, true),
+                (500, 200, true),
+                (500, 300, false),
+                (501, 400, false),
+            ],
+        ),
+        (
+            "contact after a cut",
+            &[
+                (500, 100, true),
+                (500, 200, true),
+                (500, 300, false),
+                (700, 600, true),
+            ],
+        ),
+    ];
+    for (name, losses) in cases {
+        let start = Instant::now();
+        let mut tracker = RunTracker::default();
+        for (index, (lost_ms, opened_ms, is_reported)) in losses.iter().enumerate() {
+            let run = tracker.begin(&format_smolstr!("e{index}"), &parts(&["x"]));
+            tracker.record_contact(run, start + ms(*opened_ms));
+            let now = start + ms(*lost_ms);
+            let report = tracker.record_end(run, RunEnd::ConnectionLost, now);
+            assert_eq!(report.is_some(), *is_reported, "{name}: {index}");
+        }
+    }
+}
+
+// Guards against an endpoint that is back within a second and crashes once more.
+#[test]
+fn an_endpoint_that_was_reached_again_can_crash_again() {
+    let start = Instant::now();
+    let mut tracker = RunTracker::default();
+    for crash in 0..4 {
+        let opened_at = start + ms(crash * 1_500);
+        let run = tracker.begin(&"e".into(), &parts(&["x"]));
+        tracker.record_contact(run, opened_at);
+        let report = tracker.record_end(run, RunEnd::ConnectionLost, opened_at + ms(50));
+        assert!(report.is_some(), "{crash}");
+    }
+}
+
+// Guards against crashes of one endpoint that are taken for one, though it was up in between.
+#[test]
+fn crashes_of_one_endpoint_count_apart_if_it_was_reached_in_between() {
+    for (is_reached, expected) in [(true, true), (false, false)] {
+        let start = Instant::now();
+        let mut detector = PoisonDetector::default();
+        let request = parts(&["=request"]);
+        for crash in 0..3 {
+            let now = start + ms(crash * 200);
+            let report = CrashReport {
+                endpoint: "e".into(),
+                parts: request.clone(),
+                reached_at: is_reached.then_some(now - ms(100)),
+            };
+            detector.observe_crash(&report, now);
+            // Another run that the same crash ends.
+            detector.observe_crash(&report, now + ms(10));
+        }
+        for poll in 0..10 {
+            detector.poll(start + ms(500 + poll * 50));
+        }
+        let found = detector.find_quarantine(&request, start + ms(1_000));
+        assert_eq!(found.is_some(), expected);
+        let crashes = found.map_or(0, |quarantine| quarantine.crashes);
+        assert_eq!(crashes, if expected { 3 } else { 0 });
+    }
+}
+
 // Guards against memory that a peer with absurd reports fills.
 #[test]
 fn absurd_reports_are_bounded() {
@@ -176,11 +266,13 @@
                 .into_iter()
                 .chain(names)
                 .collect(),
+            reached_at: None,
         };
         detector.observe_crash(&report, start + ms(index));
         let empty = CrashReport {
             endpoint: "e".into(),
             parts: Vec::new(),
+            reached_at: None,
         };
         detector.observe_crash(&empty, start + ms(index));
     }
@@ -432,6 +524,7 @@
             let report = CrashReport {
                 endpoint: (*endpoint).into(),
                 parts: parts(names),
+                reached_at: None,
             };
             detector.observe_crash(&report, start + ms(*at_ms));
         }
--- a/node/src/backends/call_error.rs
+++ b/node/src/backends/call_error.rs
@@ -1,6 +1,7 @@
 //! Error of a network call to another machine.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use strum::{Display, IntoStaticStr};
 
@@ -30,6 +31,8 @@
     pub peer: SocketAddr,
     /// Whether any part of the request may have been sent.
     pub was_sent: bool,
+    /// Time at which the connection that failed had been opened, if there was one.
+    pub connected_at: Option<Instant>,
     /// Cause of the failure.
     pub message: String,
 }
@@ -41,6 +44,7 @@
             step,
             peer,
             was_sent: false,
+            connected_at: None,
             message: message.to_string(),
         }
     }
@@ -51,7 +55,15 @@
             step,
             peer,
             was_sent: true,
+            connected_at: None,
             message: message.to_string(),
         }
     }
+
+    /// Adds the time at which the connection that failed had been opened.
+    #[must_use]
+    pub fn on_connection_of(mut self, connected_at: Instant) -> Self {
+        self.connected_at = Some(connected_at);
+        self
+    }
 }
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -62,6 +62,7 @@
 pub(super) struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
     interim: Arc<InterimCounter>,
+    opened_at: Instant,
 }
 
 struct IdleConnection {
@@ -239,6 +240,7 @@
                 } else {
                     CallError::sent(CallStep::Send, address, failure.error())
                 };
+                let error = error.on_connection_of(connection.opened_at);
                 Err(SendFailure { error, unsent })
             }
         }
@@ -268,7 +270,11 @@
             // Errors of the connection are also returned by the sender.
             let _ = connection.await;
         });
-        Ok(PooledConnection { sender, interim })
+        Ok(PooledConnection {
+            sender,
+            interim,
+            opened_at: Instant::now(),
+        })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
