--- a/lib/tests/test_poison.rs
+++ b/lib/tests/test_poison.rs
@@ -164,12 +164,14 @@
     assert_eq!(reports, 2);
 }
 
+/// Time of a loss and of the opening of its connection, and whether the loss is reported.
+type LossCase = (u64, u64, bool);
+
 // Guards against a router without other traffic that takes itself for cut off, though it opens
 // a new connection for each request, and a cut whose losses all come after their connections.
 #[test]
 fn a_router_that_opens_connections_reports_all_losses() {
-    // Time of each loss, of the opening of its connection, and whether it is reported.
-    let cases: [(&str, &[(u64, u64, bool)]); 3] = [
+    let cases: [(&str, &[LossCase]); 3] = [
         (
             "a connection for each",
             &[
