gateway: watches that were pending in an outage of the store end with it

Cause: a watch that is pending when the store falls silent may never be answered, though its connection looks sound from both ends. It then waits for its own deadline, up to 11.5 s, while other calls succeed again, and changes of the registry and of the configuration stay unknown meanwhile.

Change: after two consecutive calls without an answer, the next answer of the store ends the watches of all prefixes: registry, configuration, list of routers, lock. Each is read in full, as after any failed watch.

`router/` and `placer/` are not changed.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -39,6 +39,7 @@
 use crate::gateway_backends::GatewayBackends;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
+use crate::outage_clock::OutageClock;
 use crate::peer_exchange::PendingRelay;
 use crate::poison_guard::PoisonGuard;
 use crate::slot_queue::SlotQueue;
@@ -86,6 +87,7 @@
     /// Limits that peers have to be told of.
     pub(crate) limit_outbox: Mutex<LimitOutbox>,
     pub(crate) store_breaker: Mutex<CircuitBreaker>,
+    pub(crate) store_outages: OutageClock,
     pub(crate) avoided: Mutex<AvoidList>,
     pub(crate) stalls: StallMonitor,
     pub(crate) poison: PoisonGuard,
@@ -214,8 +216,9 @@
         breaker.try_call(Instant::now())
     }
 
-    /// Updates the circuit breaker of the store with the result of a call.
+    /// Updates the circuit breaker and the outages of the store with the result of a call.
     pub(crate) fn record_store_result<T>(&self, result: &Result<T, StoreError>) {
+        self.store_outages.observe(result);
         let mut breaker = self.store_breaker.lock().expect("store breaker lock");
         match result {
             Err(error) if error.is_outage() => {
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -40,6 +40,7 @@
 use crate::limit_watch;
 use crate::lock_sink::LockSink;
 use crate::operator_sink::OperatorSink;
+use crate::outage_clock::OutageClock;
 use crate::peer_exchange;
 use crate::placer_loop;
 use crate::poison_guard;
@@ -200,6 +201,7 @@
         limits: Mutex::default(),
         limit_outbox: Mutex::default(),
         store_breaker: Mutex::default(),
+        store_outages: OutageClock::default(),
         avoided: Mutex::default(),
         stalls: StallMonitor::default(),
         poison: PoisonGuard::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod local_reply;
 mod lock_sink;
 mod operator_sink;
+mod outage_clock;
 mod peer_exchange;
 mod placer_loop;
 mod poison_guard;
--- /dev/null
+++ b/gateway/src/outage_clock.rs
@@ -0,0 +1,84 @@
+//! Notices the end of outages of the store, for watches that were pending meanwhile.
+
+use std::sync::Mutex;
+
+use jujuberoad_node::backends::StoreError;
+use smol::channel;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+
+/// Consecutive calls without an answer that make an outage.
+const OUTAGE_CALLS: u32 = 2;
+
+/// Number of outages that have ended.
+pub(crate) type OutageCount = u64;
+
+/// Counts the outages of the store that have ended, if calls were not answered in them.
+///
+/// A watch that was pending in such an outage may never be answered, though its connection
+/// looks sound from both ends.
+pub(crate) struct OutageClock {
+    state: Mutex<ClockState>,
+}
+
+struct ClockState {
+    unanswered_calls: u32,
+    ended: OutageCount,
+    /// Closed at the end of the next outage.
+    next_end: Sender<()>,
+    end_signal: Receiver<()>,
+}
+
+impl Default for OutageClock {
+    fn default() -> Self {
+        let (next_end, end_signal) = channel::bounded(1);
+        let state = ClockState {
+            unanswered_calls: 0,
+            ended: 0,
+            next_end,
+            end_signal,
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+}
+
+impl OutageClock {
+    /// Records the result of a call that is no watch. A refusal is an answer, too.
+    pub(crate) fn observe<T>(&self, result: &Result<T, StoreError>) {
+        let mut state = self.state.lock().expect("outage lock");
+        if let Err(StoreError::Call(_)) = result {
+            state.unanswered_calls = state.unanswered_calls.saturating_add(1);
+            return;
+        }
+        let was_outage = std::mem::take(&mut state.unanswered_calls) >= OUTAGE_CALLS;
+        if was_outage {
+            state.ended += 1;
+            let (next_end, end_signal) = channel::bounded(1);
+            state.next_end.close();
+            state.next_end = next_end;
+            state.end_signal = end_signal;
+        }
+    }
+
+    /// Returns the number of outages that have ended.
+    pub(crate) fn ended(&self) -> OutageCount {
+        self.state.lock().expect("outage lock").ended
+    }
+
+    /// Waits until more than `known` outages have ended.
+    pub(crate) async fn wait_beyond(&self, known: OutageCount) {
+        loop {
+            let end_signal = {
+                let state = self.state.lock().expect("outage lock");
+                if state.ended > known {
+                    return;
+                }
+                state.end_signal.clone()
+            };
+            // Nothing is ever sent; an error means that an outage has ended.
+            let _ = end_signal.recv().await;
+        }
+    }
+}
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -182,7 +182,7 @@
         ..PrefixHealth::default()
     };
     loop {
-        let watch = watch_in_era(core, &prefix, era, as_of);
+        let watch = watch_while_valid(core, &prefix, era, as_of);
         let answer = count_call(core, "watch", watch.await)?;
         as_of = answer.as_of.max(as_of);
         sink.apply(core, answer.events, as_of);
@@ -190,8 +190,9 @@
     }
 }
 
-/// Watches a prefix; fails as soon as any call shows that a new era of the store has begun.
-async fn watch_in_era(
+/// Watches a prefix; fails as soon as any call shows that a new era of the store has begun or
+/// that the store answers again after an outage.
+async fn watch_while_valid(
     core: &GatewayCore,
     prefix: &str,
     era: StoreEra,
@@ -206,8 +207,15 @@
             found: store.eras().newest(),
         })
     };
+    let outages = &core.store_outages;
+    let known_outages = outages.ended();
+    let outdated = async {
+        outages.wait_beyond(known_outages).await;
+        let prefix = prefix.to_owned();
+        Err(StoreError::WatchOutdated { prefix })
+    };
     let watch = store.watch_prefix(prefix, era, after, WATCH_TIMEOUT_MS);
-    restored.or(watch).await
+    restored.or(outdated).or(watch).await
 }
 
 fn count_call<T>(
--- a/node/src/backends/store_error.rs
+++ b/node/src/backends/store_error.rs
@@ -45,6 +45,12 @@
         /// Era of the answer.
         found: StoreEra,
     },
+    /// The store did not answer calls while the watch was pending, and answers again.
+    #[error("the watch of {prefix:?} was pending in an outage of the store")]
+    WatchOutdated {
+        /// Watched prefix.
+        prefix: String,
+    },
     /// The lease is unknown or has expired.
     #[error("lease {0} is unknown or has expired")]
     LeaseExpired(u64),
