--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -131,6 +131,45 @@
     });
 }
 
+/// Whatever bytes arrive, in whatever pieces: every byte is in an event or still buffered, and
+/// the pieces make no difference.
+#[test]
+fn any_bytes_are_split_without_loss() {
+    let tokens: [&[u8]; 9] = [
+        b"\n", b"\r\n", b"\r", b"id:", b" 7", b"data: x", b":", b"\xff\0", b"id: 9",
+    ];
+    for_seeds(2_000, 300, |u| {
+        let mut bytes = Vec::new();
+        while !u.is_empty() && bytes.len() < 200 {
+            bytes.extend_from_slice(u.choose(&tokens)?);
+        }
+        let mut splitter = EventSplitter::default();
+        let mut at = 0;
+        let mut events = Vec::new();
+        while at < bytes.len() {
+            let next = (at + draw(u, 1, 9)? as usize).min(bytes.len());
+            splitter.push(&bytes[at..next]);
+            at = next;
+            while let Some(event) = splitter.next_event() {
+                assert!(event.bytes.ends_with(b"\n"), "{bytes:?}");
+                events.push(event);
+            }
+        }
+        let mut whole = EventSplitter::default();
+        whole.push(&bytes);
+        let expected: Vec<_> = std::iter::from_fn(|| whole.next_event()).collect();
+        assert_eq!(events, expected, "{bytes:?}");
+        let passed: usize = events.iter().map(|event| event.bytes.len()).sum();
+        assert_eq!(splitter.has_partial_event(), passed < bytes.len());
+        let joined: Vec<u8> = events
+            .iter()
+            .flat_map(|event| event.bytes.to_vec())
+            .collect();
+        assert_eq!(joined, bytes[..passed]);
+        Ok(())
+    });
+}
+
 fn events_of(pieces: &[&[u8]]) -> (Vec<String>, bool) {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
