lab: ports of daemons stay free while other daemons start

Cause, likely and not shown for that run: a port is probed by binding it and closing it again. A process that another test starts at that moment holds copies of all sockets until it runs its own program, so the port is still in use when the daemon binds it.

Ruled out by reading: ports of other lab processes (ranges by process id, test programs run one after the other), ports returned twice (300 a process), outgoing connections (the range is below the ephemeral one).

Change: a lock is held while a port is probed and while a process starts. `spawn` returns once the new program runs.

--- a/lab/src/fleet/fleet_processes.rs
+++ b/lab/src/fleet/fleet_processes.rs
@@ -15,6 +15,7 @@
 use smol_str::SmolStr;
 
 use super::FleetError;
+use super::PortProbe;
 
 /// Time that a process has to exit after SIGTERM before it is killed.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -58,13 +59,13 @@
             .append(true)
             .open(log)
             .map_err(FleetError::io(format!("opening {}", log.display())))?;
-        let child = Command::new(&path)
-            .arg("--settings")
-            .arg(&node.settings)
+        let mut command = Command::new(&path);
+        command.arg("--settings").arg(&node.settings);
+        command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(file)
-            .spawn()
+            .stderr(file);
+        let child = PortProbe::spawn(&mut command)
             .map_err(FleetError::io(format!("starting {}", path.display())))?;
         self.children.push((name, child));
         Ok(())
--- a/lab/src/fleet/lab_fleet.rs
+++ b/lab/src/fleet/lab_fleet.rs
@@ -3,12 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +17,7 @@
 use super::FleetProcesses;
 use super::FleetStandins;
 use super::NodeAddresses;
+use super::PortProbe;
 use crate::standins::EngineTiming;
 
 /// Time that routers have to register, and groups to become warm.
@@ -30,16 +27,6 @@
 
 /// Number of last log lines in the error of a fleet that is not ready.
 const LOG_TAIL_LINES: usize = 12;
-/// Lowest port for routers; below the ephemeral range, from which the system takes the
-/// ports of outgoing connections.
-const FIRST_PORT: u16 = 16_000;
-/// Size of the port range that one lab process uses.
-const PORTS_PER_PROCESS: u16 = 300;
-/// Number of disjoint port ranges; a lab process uses one of them, by its process id.
-const PORT_RANGES: u32 = 50;
-
-/// Offset of the next port to try in the range of this process.
-static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
 /// A running fleet; dropping it kills all its processes.
 pub struct LabFleet {
@@ -212,8 +199,8 @@
     platform: SocketAddr,
 ) -> Result<NodeAddresses, FleetError> {
     let id = format_smolstr!("router-{}", index + 1);
-    let http = free_address()?;
-    let peer = free_address()?;
+    let http = PortProbe::free_address()?;
+    let peer = PortProbe::free_address()?;
     let settings = folder.join(format!("{id}.ini"));
     let text = format!(
         "[process]\nid = {id}\nzone = {zone}\n\n[listen]\nhttp = {http}\npeer = {peer}\n\n\
@@ -228,19 +215,3 @@
         settings,
     })
 }
-
-/// Returns a loopback address whose port is free for TCP and UDP.
-///
-/// The port is below the ephemeral range. A process returns a port again only after it
-/// has tried all others of its range.
-fn free_address() -> Result<SocketAddr, FleetError> {
-    let first = FIRST_PORT + PORTS_PER_PROCESS * (std::process::id() % PORT_RANGES) as u16;
-    for _ in 0..PORTS_PER_PROCESS {
-        let port = first + NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(FleetError::NotReady("no free port for a router".to_owned()))
-}
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 mod fleet_processes;
 mod fleet_standins;
 mod lab_fleet;
+mod port_probe;
 
 pub use fleet_error::FleetError;
 pub use fleet_processes::FleetProcesses;
 pub use fleet_processes::NodeAddresses;
 pub use fleet_standins::FleetStandins;
 pub use lab_fleet::LabFleet;
+pub use port_probe::PortProbe;
