lab: the error of a fleet that does not start names the cause

Cause: the error holds the last 12 lines of a daemon's log.

Change: daemons of the lab print reports without a backtrace. Panics still print theirs.

--- a/lab/src/fleet/fleet_processes.rs
+++ b/lab/src/fleet/fleet_processes.rs
@@ -61,6 +61,8 @@
             .map_err(FleetError::io(format!("opening {}", log.display())))?;
         let mut command = Command::new(&path);
         command.arg("--settings").arg(&node.settings);
+        // The end of the log shows why a daemon failed to start, not where.
+        command.env("RUST_LIB_BACKTRACE", "0");
         command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
