fleet, gateway: probes of a silent endpoint do not prolong its exclusion

Cause: since the placer probes a silent endpoint every 0.1 s to tell a pause from a loss. Each probe without an answer was recorded like a request that failed and began the 4.5 s anew, so that the endpoint was excluded up to 2 s longer, at the router that is placer only. The class: evidence that is gathered for one decision also counted for another one.

Change: a probe only records what it shows of the silence.

--- a/gateway/src/silence_probe.rs
+++ b/gateway/src/silence_probe.rs
@@ -36,6 +36,9 @@
             core.fleet.apply_report(endpoint, report);
             core.clear_unreachable(endpoint);
         }
-        Err(error) => core.mark_silent(endpoint, error.silence_kind()),
+        Err(error) => {
+            let kind = error.silence_kind();
+            core.avoided().observe_probe(endpoint, kind, Instant::now());
+        }
     }
 }
--- a/lib/src/fleet/avoid_list.rs
+++ b/lib/src/fleet/avoid_list.rs
@@ -39,6 +39,14 @@
         record.observe(kind, now);
     }
 
+    /// Records what a failed probe of an excluded endpoint shows. It stays excluded as long as
+    /// before: probes tell a pause from a loss, they are no request that failed.
+    pub fn observe_probe(&mut self, endpoint: &EndpointId, kind: SilenceKind, now: Instant) {
+        if let Some(record) = self.unreachable.get_mut(endpoint) {
+            record.observe(kind, now);
+        }
+    }
+
     /// Returns the excluded endpoints that may still go on where they stopped.
     pub fn silent_endpoints(&self, now: Instant) -> BTreeSet<EndpointId> {
         let records = self.unreachable.iter();
