gateway: refusals say how many targets are avoided, and name no limit that is none

Cause: the logs of the partitioned routers could not tell lost paths from rate limits. A request whose time to wait was over was refused as `rate_limited`, and no line said how many endpoints its router held for unreachable. Ruled out: a change of what is refused; only the reason differs.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -252,6 +252,8 @@
     let registry_age = view
         .registry_confirmed_at
         .map(|at| at.elapsed().as_millis() as u64);
+    let targets = view.targets.pool(&request.pool);
+    let avoided = core.count_avoided(targets);
     core.log.write(
         kind,
         json!({
@@ -268,7 +270,8 @@
             "config": request.config_version,
             "registry": view.registry_version,
             "registry_age_ms": registry_age,
-            "targets": view.targets.pool(&request.pool).len(),
+            "targets": targets.len(),
+            "avoided": avoided,
             "waiting": core.queue.len(),
         }),
     );
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -191,6 +191,16 @@
         self.avoided().is_unusable(target, Instant::now())
     }
 
+    /// Returns how many of `targets` are avoided.
+    pub(crate) fn count_avoided(&self, targets: &[ServingTarget]) -> usize {
+        let now = Instant::now();
+        let avoided = self.avoided();
+        let targets = targets.iter();
+        targets
+            .filter(|target| avoided.is_avoided(target, now))
+            .count()
+    }
+
     /// Returns the endpoints that are avoided because they do not answer or are slow.
     pub(crate) fn avoided_endpoints(&self) -> BTreeSet<EndpointId> {
         self.avoided().endpoints(Instant::now())
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -85,7 +85,9 @@
             return Err(ReserveError::QueueFull);
         }
         // Peers may lift a limit or leave the list meanwhile, but that is not to be expected.
-        if Self::next_room_at(core, query, targets).is_none_or(|at| at > query.queue_deadline) {
+        let room_at = Self::next_room_at(core, query, targets);
+        let latest_room_at = query.queue_deadline.max(Instant::now());
+        if room_at.is_none_or(|at| at > latest_room_at) {
             return Err(ReserveError::RateLimited);
         }
         let priority = if query.is_resumed {
