gateway: routers without a path to endpoints send requests through peers

Cause: a router knew endpoints only by its own connections, so its own lost path looked like the loss of all endpoints, and a request had no way but the router's own. The class: a fault of the observer taken for one of the observed. Ruled out: rate limits, waiting; that the endpoints or the other routers suffered. Change: PathMonitor tells a lost path from lost endpoints; while it is lost, or no endpoint in reach has a slot, requests go through a peer over HTTP, one hop, with key, attempts, configuration version and retry state. Why this works: the peer serves them as its own, and lost hops count as attempts that may have run (docs/design/lost-paths.md).

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -18,6 +18,8 @@
 use crate::endpoint_call;
 use crate::gateway_core::GatewayCore;
 use crate::local_reply::LocalReply;
+use crate::relay_call;
+use crate::relay_call::RelayEnd;
 use crate::reserved_target::ReservedTarget;
 use crate::run_watch::RunWatch;
 
@@ -36,6 +38,8 @@
     /// Attempts in which the request may have been executed.
     runs: u32,
     unexecuted_attempts: u32,
+    /// Whether the next attempt takes a retry from the budget, for one at another router.
+    owes_retry: bool,
     waited_ms: u64,
 }
 
@@ -47,10 +51,12 @@
 
 impl BufferedCall {
     pub(crate) fn new(core: Arc<GatewayCore>, request: CallerRequest) -> Self {
+        let relay_head = request.relay_head.as_ref();
         Self {
+            runs: relay_head.map_or(0, |head| head.runs),
+            owes_retry: relay_head.is_some_and(|head| head.is_retry),
             core,
             request: Arc::new(request),
-            runs: 0,
             unexecuted_attempts: 0,
             waited_ms: 0,
         }
@@ -60,18 +66,36 @@
     pub(crate) async fn run(mut self) -> Response<ReplyBody> {
         let mut query = self.request.target_query(&self.core);
         let mut failure: Option<Response<ReplyBody>> = None;
+        if std::mem::take(&mut self.owes_retry) && !self.core.try_take_retry() {
+            let reason = "the retry budget is used up";
+            let answer = LocalReply::unknown(StatusCode::BAD_GATEWAY, reason);
+            return self.fail(answer);
+        }
         loop {
             if let Some(answer) = self.request.quarantine_reply(&self.core, self.runs) {
                 return self.fail(answer);
             }
+            if self.core.is_severed(&query.pool.service)
+                && let Some(response) = self.relay().await
+            {
+                return response;
+            }
             let reserved = match ReservedTarget::reserve(&self.core, &query).await {
                 Ok(reserved) => reserved,
+                Err(_)
+                    if self.core.avoids_most(&query.pool)
+                        && let Some(response) = self.relay().await =>
+                {
+                    return response;
+                }
                 Err(reason) if failure.is_some() => {
                     let response = failure.take().expect("a stored failure response");
                     return self
                         .end_answered(response, &format!("no other endpoint available: {reason}"));
                 }
-                Err(reason) if self.runs == 0 => return self.fail(self.request.refusal(reason)),
+                Err(reason) if self.runs == 0 => {
+                    return self.fail(self.request.refusal(&self.core, reason));
+                }
                 Err(reason) => {
                     let reason = format!("no other endpoint available: {reason}");
                     let answer = LocalReply::unknown(StatusCode::BAD_GATEWAY, reason);
@@ -102,6 +126,11 @@
                     self.unexecuted_attempts += 1;
                     let is_allowed = !error.was_sent || self.core.try_take_retry();
                     if self.unexecuted_attempts >= MAX_UNEXECUTED_ATTEMPTS || !is_allowed {
+                        if !error.was_sent
+                            && let Some(response) = self.relay().await
+                        {
+                            return response;
+                        }
                         let answer = self.request.not_run_reply(self.runs, &error);
                         return self.fail(answer);
                     }
@@ -113,25 +142,50 @@
                         if let Some(failure) = failure.take() {
                             return self.end_answered(failure, &endpoint);
                         }
-                        let status = if Instant::now() >= self.request.deadline {
-                            StatusCode::GATEWAY_TIMEOUT
-                        } else {
-                            StatusCode::BAD_GATEWAY
-                        };
-                        let answer = LocalReply::unknown(status, error.to_string());
-                        return self.fail(answer);
+                        return self.fail(self.request.unknown_reply(&error));
                     }
                 }
             }
         }
     }
 
+    /// Sends the request through a peer; returns `None` if it may not be or none took it.
+    async fn relay(&mut self) -> Option<Response<ReplyBody>> {
+        let attempts = self.request.attempts_left(self.runs);
+        if attempts == 0 || !self.request.may_be_relayed() {
+            return None;
+        }
+        let is_retry = self.runs > 0 || self.unexecuted_attempts > 0;
+        let relayed = relay_call::relay(&self.core, &self.request, self.runs, is_retry, None);
+        let error = match relayed.await {
+            RelayEnd::NoPeer => return None,
+            RelayEnd::Lost(error) => error,
+            RelayEnd::Answered(relayed) => {
+                let (parts, body) = relayed.response.into_parts();
+                let deadline = self.request.deadline;
+                match read_whole(body, MAX_ANSWER_BYTES, relayed.address, deadline).await {
+                    Ok(body) => {
+                        self.runs += attempts;
+                        let response = Response::from_parts(parts, full_body(body));
+                        return Some(self.end_answered(response, &relayed.permit.peer));
+                    }
+                    Err(error) => error,
+                }
+            }
+        };
+        // The peer may have made all attempts.
+        self.runs += attempts;
+        Some(self.fail(self.request.unknown_reply(&error)))
+    }
+
     async fn attempt(&self, reserved: &ReservedTarget) -> AttemptEnd {
         let address = reserved.target.address;
         let mut run = RunWatch::new(&self.core, &self.request, &reserved.target.endpoint);
         let answer = match endpoint_call::send(&self.core, &self.request, reserved, None).await {
             Ok(answer) => answer,
             Err(error) if !error.was_sent => {
+                self.core
+                    .observe_failure(&self.request.pool.service, &reserved.target.endpoint);
                 self.core
                     .mark_unreachable_for(&reserved.target.endpoint, BUFFERED_UNREACHABLE_COOLDOWN);
                 return AttemptEnd::NotRun(error);
@@ -143,6 +197,9 @@
             }
         };
         run.record_contact(Instant::now());
+        let service = &self.request.pool.service;
+        self.core
+            .observe_contact(service, &reserved.target.endpoint, address);
         let status = answer.response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.core.handle_misdirected(&reserved.target);
--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use jujuberoad::fleet::PoolKey;
+use jujuberoad::peer::RelayHead;
 use jujuberoad::poison::fingerprint;
 use jujuberoad::serving::RouteKind;
 use jujuberoad::serving::ServingConfig;
@@ -56,6 +57,7 @@
         body: &mut RequestBody,
         head: CallerHead,
         id: SmolStr,
+        relay_head: Option<RelayHead>,
     ) -> Result<CallerRequest, LocalReply> {
         let received_at = Instant::now();
         let view = self.core.fleet.view();
@@ -127,17 +129,32 @@
             received_at,
             age_at_arrival_ms,
             deadline,
+            is_counted: relay_head.as_ref().is_some_and(|head| head.is_counted),
+            relay_head,
         })
     }
 
-    async fn serve(&self, request: CallerRequest) -> Response<ReplyBody> {
+    async fn serve(&self, mut request: CallerRequest) -> Response<ReplyBody> {
         let core = Arc::clone(&self.core);
-        let now = Instant::now();
-        core.retry_budget
-            .lock()
-            .expect("retry budget lock")
-            .observe_request(now);
         core.has_traffic.store(true, Ordering::Relaxed);
+        let is_severed = core.is_severed(&request.pool.service);
+        if is_severed && !request.may_be_relayed() {
+            let reason = "this router has lost its path to the service, too";
+            let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return self.refuse(reply.for_other_router(), &request.id, request.uri.path());
+        }
+        let earlier_runs = request.relay_head.as_ref().map_or(0, |head| head.runs);
+        if request.attempts_left(earlier_runs) == 0 {
+            let reason = "the relayed request has used up its attempts";
+            let reply = LocalReply::not_run(StatusCode::BAD_REQUEST, reason);
+            return self.refuse(reply, &request.id, request.uri.path());
+        }
+        // A request that goes through a peer is counted there, where it may be retried.
+        if !request.is_counted && !is_severed {
+            let mut retry_budget = core.retry_budget.lock().expect("retry budget lock");
+            retry_budget.observe_request(Instant::now());
+            request.is_counted = true;
+        }
         match request.route.kind {
             RouteKind::Streaming => StreamCall::new(core, request).run().await,
             RouteKind::Idempotent => BufferedCall::new(core, request).run().await,
@@ -150,36 +167,28 @@
     }
 }
 
-#[async_trait]
-impl HttpHandler for CallerApi {
-    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
-        let head = self
-            .core
-            .backends
-            .dialect
-            .read_caller_head(request.headers());
+impl CallerApi {
+    /// Serves a request of a caller, or one that a peer relays.
+    pub(crate) async fn respond(
+        &self,
+        request: Request<Incoming>,
+        relay_head: Option<RelayHead>,
+    ) -> Response<ReplyBody> {
+        let dialect = &self.core.backends.dialect;
+        let head = dialect.read_caller_head(request.headers());
         let id = head.request_id.clone().unwrap_or_else(new_request_id);
-        let route = SmolStr::from(request.uri().path());
+        let path = SmolStr::from(request.uri().path());
         let (parts, body) = request.into_parts();
         let mut body = RequestBody::new(body, &parts.headers);
         let mut is_reusable = true;
-        let mut response = match self.admit(parts, &mut body, head, id.clone()).await {
+        let mut response = match self
+            .admit(parts, &mut body, head, id.clone(), relay_head)
+            .await
+        {
             Ok(request) => self.serve(request).await,
             Err(answer) => {
-                self.core.metrics.refusals.inc();
-                self.core.log.write(
-                    LogKind::Refused,
-                    json!({
-                        "request": id,
-                        "path": route,
-                        "status": answer.status.as_u16(),
-                        "outcome": answer.outcome.to_string(),
-                        "reason": answer.reason,
-                        "at": "door",
-                    }),
-                );
                 is_reusable = body.discard();
-                answer.into_response(&self.core, &id)
+                self.refuse(answer, &id, &path)
             }
         };
         if self.core.is_stopping() || !is_reusable {
@@ -188,6 +197,35 @@
         }
         response
     }
+
+    /// Refuses a request that was not admitted.
+    pub(crate) fn refuse(
+        &self,
+        answer: LocalReply,
+        id: &SmolStr,
+        path: &str,
+    ) -> Response<ReplyBody> {
+        self.core.metrics.refusals.inc();
+        self.core.log.write(
+            LogKind::Refused,
+            json!({
+                "request": id,
+                "path": path,
+                "status": answer.status.as_u16(),
+                "outcome": answer.outcome.to_string(),
+                "reason": answer.reason,
+                "at": "door",
+            }),
+        );
+        answer.into_response(&self.core, id)
+    }
+}
+
+#[async_trait]
+impl HttpHandler for CallerApi {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        self.respond(request, None).await
+    }
 }
 
 /// Refuses a request whose headers exceed the configured limit.
@@ -214,6 +252,12 @@
     host.unwrap_or_default().to_owned()
 }
 
+/// Returns the id of a request, or a new one if it has none.
+pub(crate) fn request_id(core: &GatewayCore, headers: &HeaderMap) -> SmolStr {
+    let head = core.backends.dialect.read_caller_head(headers);
+    head.request_id.unwrap_or_else(new_request_id)
+}
+
 fn new_request_id() -> SmolStr {
     format!("{:016x}", fastrand::u64(..)).into()
 }
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -15,6 +15,7 @@
 use jujuberoad::ids::PromptPartId;
 use jujuberoad::ids::Revision;
 use jujuberoad::ids::TeamId;
+use jujuberoad::peer::RelayHead;
 use jujuberoad::serving::RouteSpec;
 use jujuberoad::serving::ServingConfig;
 use jujuberoad_node::backends::CallError;
@@ -57,6 +58,11 @@
     pub(crate) age_at_arrival_ms: Milliseconds,
     /// When the timeout of the caller or of the route expires.
     pub(crate) deadline: Instant,
+    /// State at the router that relayed the request, if one did.
+    pub(crate) relay_head: Option<RelayHead>,
+    /// Whether this router or the one that relayed the request has counted it for the retry
+    /// budget.
+    pub(crate) is_counted: bool,
 }
 
 impl CallerRequest {
@@ -82,6 +88,21 @@
         }
     }
 
+    /// Returns the number of attempts that the route allows after `runs` ones that may have
+    /// executed the request.
+    pub(crate) fn attempts_left(&self, runs: u32) -> u32 {
+        if self.route.is_repeatable() {
+            self.route.max_attempts.saturating_sub(runs)
+        } else {
+            u32::from(runs == 0)
+        }
+    }
+
+    /// Returns whether the request may go through a peer; it is relayed only once.
+    pub(crate) fn may_be_relayed(&self) -> bool {
+        self.relay_head.is_none()
+    }
+
     /// Returns the time since the request arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
         self.received_at.elapsed().as_millis() as u64
@@ -107,6 +128,16 @@
             .with_retry_at(self.pick_retry_at())
     }
 
+    /// Returns the reply to a request that may have been executed by an attempt that failed.
+    pub(crate) fn unknown_reply(&self, error: &CallError) -> LocalReply {
+        let status = if Instant::now() >= self.deadline {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        LocalReply::unknown(status, error.to_string())
+    }
+
     /// Returns the reply to a request that is quarantined, itself or by its prompt, or `None` if
     /// it is not; `runs` attempts may have been executed.
     pub(crate) fn quarantine_reply(&self, core: &GatewayCore, runs: u32) -> Option<LocalReply> {
@@ -129,11 +160,15 @@
     }
 
     /// Returns the reply to a request for which no target could be reserved.
-    pub(crate) fn refusal(&self, reason: ReserveError) -> LocalReply {
+    pub(crate) fn refusal(&self, core: &GatewayCore, reason: ReserveError) -> LocalReply {
         let pool = &self.pool;
         let reason = format!("no endpoint of service {:?}: {reason}", pool.service);
-        LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-            .with_retry_at(self.pick_retry_at())
+        let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+            .with_retry_at(self.pick_retry_at());
+        if self.relay_head.is_some() && core.avoids_most(pool) {
+            return reply.for_other_router();
+        }
+        reply
     }
 }
 
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -19,7 +19,10 @@
 use jujuberoad::fleet::LimitOutbox;
 use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::LoadTable;
+use jujuberoad::fleet::PathMonitor;
+use jujuberoad::fleet::PoolKey;
 use jujuberoad::fleet::QuotaDivider;
+use jujuberoad::fleet::RelayTable;
 use jujuberoad::fleet::RetryAllowance;
 use jujuberoad::fleet::SendPacer;
 use jujuberoad::fleet::ServingTarget;
@@ -28,6 +31,7 @@
 use jujuberoad::ids::Fence;
 use jujuberoad::ids::ModelId;
 use jujuberoad::ids::RouterId;
+use jujuberoad::ids::ServiceId;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -90,6 +94,10 @@
     pub(crate) store_breaker: Mutex<CircuitBreaker>,
     pub(crate) store_outages: OutageClock,
     pub(crate) avoided: Mutex<AvoidList>,
+    /// Which services this router reaches.
+    pub(crate) paths: Mutex<PathMonitor>,
+    /// Peers that requests go through while it does not.
+    pub(crate) relays: Mutex<RelayTable>,
     pub(crate) stalls: StallMonitor,
     pub(crate) poison: PoisonGuard,
     pub(crate) queue: SlotQueue,
@@ -254,6 +262,50 @@
         }
     }
 
+    /// Records contact with an endpoint of a service.
+    pub(crate) fn observe_contact(
+        &self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        address: SocketAddr,
+    ) {
+        let connected_at = self.pool.opened_at(address);
+        let mut paths = self.paths();
+        paths.observe_contact(service, endpoint, connected_at, Instant::now());
+    }
+
+    /// Records that an endpoint of a service did not respond.
+    pub(crate) fn observe_failure(&self, service: &ServiceId, endpoint: &EndpointId) {
+        self.paths()
+            .observe_failure(service, endpoint, Instant::now());
+    }
+
+    /// Returns whether this router has lost its path to a service.
+    pub(crate) fn is_severed(&self, service: &ServiceId) -> bool {
+        self.paths().is_severed(service, Instant::now())
+    }
+
+    /// Returns the services to which this router has lost its path.
+    pub(crate) fn severed_services(&self) -> BTreeSet<ServiceId> {
+        let Some(config) = self.fleet.view().config else {
+            return BTreeSet::new();
+        };
+        let services = config.services.keys();
+        self.paths().severed_services(services, Instant::now())
+    }
+
+    /// Returns whether this router avoids more than half of the targets of a pool.
+    pub(crate) fn avoids_most(&self, pool: &PoolKey) -> bool {
+        let view = self.fleet.view();
+        let targets = view.targets.pool(pool);
+        2 * self.count_avoided(targets) > targets.len()
+    }
+
+    /// Locks and returns what this router has seen of its paths.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, PathMonitor> {
+        self.paths.lock().expect("path lock")
+    }
+
     /// Returns the fencing token under which orders may be sent now, if any.
     pub(crate) fn order_fence(&self) -> Option<Fence> {
         self.session
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -41,12 +41,14 @@
 use crate::lock_sink::LockSink;
 use crate::operator_sink::OperatorSink;
 use crate::outage_clock::OutageClock;
+use crate::path_watch;
 use crate::peer_exchange;
 use crate::placer_loop;
 use crate::poison_guard;
 use crate::poison_guard::PoisonGuard;
 use crate::readiness_api::ReadinessApi;
 use crate::registry_sink::RegistrySink;
+use crate::relay_api::RelayApi;
 use crate::report_poll;
 use crate::router_sink::RouterSink;
 use crate::slot_queue::SlotQueue;
@@ -87,6 +89,7 @@
 ) -> Result<(), Report<GatewayError>> {
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
+    let relays = listen(settings.peers, "relayed requests").await?;
     let peers = PeerSocket::bind(settings.id.clone(), settings.peers)
         .await
         .change_context(GatewayError::Listen {
@@ -110,10 +113,14 @@
     );
     let (caller_stop_guard, stop_callers) = StopSignal::new();
     let (all_stop_guard, stop_all) = StopSignal::new();
-    let api: Arc<dyn HttpHandler> = CallerApi::new(Arc::clone(&core));
+    let api = CallerApi::new(Arc::clone(&core));
+    let relay_api: Arc<dyn HttpHandler> = RelayApi::new(Arc::clone(&core), Arc::clone(&api));
+    let relay_server = HttpServer::new(relays, relay_api).with_limits(CALLER_LIMITS);
     let server = HttpServer::new(callers, api).with_limits(CALLER_LIMITS);
-    let open = server.open_connections();
-    runtime::spawn(server.run(stop_callers));
+    let open = [server.open_connections(), relay_server.open_connections()];
+    let count_open = || -> usize { open.iter().map(|open| open.load(Ordering::Relaxed)).sum() };
+    runtime::spawn(server.run(stop_callers.clone()));
+    runtime::spawn(relay_server.run(stop_callers));
     let api: Arc<dyn HttpHandler> = ReadinessApi::new(Arc::clone(&core));
     runtime::spawn(HttpServer::new(readiness, api).run(stop_all.clone()));
     serve_metrics(&core, stop_all).await;
@@ -129,11 +136,11 @@
     store_session::end(&core).await;
     Timer::at((stop_requested_at + BALANCER_NOTICE_TIME).min(grace_ends)).await;
     drop(caller_stop_guard);
-    while open.load(Ordering::Relaxed) > 0 && Instant::now() < grace_ends {
+    while count_open() > 0 && Instant::now() < grace_ends {
         Timer::after(DRAIN_CHECK_INTERVAL).await;
     }
     store_session::hand_over(&core).await;
-    let left = open.load(Ordering::Relaxed);
+    let left = count_open();
     core.log.write(
         LogKind::Stop,
         json!({"state": "stopped", "connections_cut": left}),
@@ -203,6 +210,8 @@
         store_breaker: Mutex::default(),
         store_outages: OutageClock::default(),
         avoided: Mutex::default(),
+        paths: Mutex::default(),
+        relays: Mutex::default(),
         stalls: StallMonitor::default(),
         poison: PoisonGuard::default(),
         queue: SlotQueue::default(),
@@ -232,6 +241,7 @@
     placer_loop::start(Arc::clone(core));
     stall_probe::start(Arc::clone(core));
     peer_exchange::start(Arc::clone(core));
+    path_watch::start(Arc::clone(core));
     poison_guard::start(Arc::clone(core));
     limit_watch::start(Arc::clone(core));
     report_poll::start(Arc::clone(core));
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -52,6 +52,9 @@
     pub(crate) store_eras: Counter,
     pub(crate) stalls: Counter,
     pub(crate) crashes: Counter,
+    pub(crate) relays: Counter,
+    pub(crate) lost_paths: Counter,
+    pub(crate) path_trials: Counter,
     pub(crate) quarantines: Gauge<i64, std::sync::atomic::AtomicI64>,
     pub(crate) limited_sends: Counter,
     pub(crate) limited_endpoints: Gauge<i64, std::sync::atomic::AtomicI64>,
@@ -76,6 +79,9 @@
             store_eras: Counter::default(),
             stalls: Counter::default(),
             crashes: Counter::default(),
+            relays: Counter::default(),
+            lost_paths: Counter::default(),
+            path_trials: Counter::default(),
             quarantines: Gauge::default(),
             limited_sends: Counter::default(),
             limited_endpoints: Gauge::default(),
@@ -129,6 +135,21 @@
             "Runs whose endpoint seems to have crashed on them",
             metrics.crashes.clone(),
         );
+        registry.register(
+            "relays",
+            "Attempts to send a request through a peer",
+            metrics.relays.clone(),
+        );
+        registry.register(
+            "lost_paths",
+            "Services to which the path of this router was lost, each time",
+            metrics.lost_paths.clone(),
+        );
+        registry.register(
+            "path_trials",
+            "Connections opened to find out whether a path is back",
+            metrics.path_trials.clone(),
+        );
         registry.register(
             "quarantines",
             "Sets of prompt parts that are rejected",
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -28,7 +28,7 @@
     pub readiness: SocketAddr,
     /// TCP address of the metrics page.
     pub metrics: SocketAddr,
-    /// UDP address for peers.
+    /// UDP address for messages of peers, and TCP address for requests that they relay.
     pub peers: SocketAddr,
     /// TCP address of the platform's store.
     pub store: SocketAddr,
--- a/gateway/src/local_reply.rs
+++ b/gateway/src/local_reply.rs
@@ -12,6 +12,8 @@
 use smol_str::SmolStr;
 
 use crate::gateway_core::GatewayCore;
+use crate::relay_call::RELAY_HEADER;
+use crate::relay_call::RELAY_UNABLE;
 
 /// A reply to a request that no endpoint answered, and the reason.
 #[derive(Clone, Debug)]
@@ -22,6 +24,8 @@
     pub(crate) reason: String,
     /// When the caller may retry.
     pub(crate) retry_at: Option<Instant>,
+    /// Whether another router may be able to serve the request.
+    is_for_other_router: bool,
 }
 
 impl LocalReply {
@@ -32,6 +36,7 @@
             outcome: Outcome::NotRun,
             reason: reason.into(),
             retry_at: None,
+            is_for_other_router: false,
         }
     }
 
@@ -42,6 +47,7 @@
             outcome: Outcome::Unknown,
             reason: reason.into(),
             retry_at: None,
+            is_for_other_router: false,
         }
     }
 
@@ -51,6 +57,12 @@
         self
     }
 
+    /// Tells a router that relayed the request to ask another one.
+    pub(crate) fn for_other_router(mut self) -> Self {
+        self.is_for_other_router = true;
+        self
+    }
+
     /// Returns the HTTP response to `request`.
     pub(crate) fn into_response(
         self,
@@ -73,6 +85,9 @@
                 headers.insert("retry-after", value);
             }
         }
+        if self.is_for_other_router {
+            headers.insert(RELAY_HEADER, HeaderValue::from_static(RELAY_UNABLE));
+        }
         core.backends.dialect.set_request_id(headers, request);
         response
     }
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -29,6 +29,7 @@
 use crate::boot_clock;
 use crate::gateway_core::GatewayCore;
 use crate::limit_watch;
+use crate::path_watch;
 use crate::poison_guard;
 use crate::registry_sink;
 use crate::stall_probe;
@@ -324,6 +325,9 @@
                 group,
                 lost,
             } => self.handle_group_failure(&endpoint, &group, lost.as_ref()),
+            PeerMessage::LostPaths(services) => {
+                path_watch::observe_peer(&self.core, &frame.sender, services);
+            }
             PeerMessage::CrashEvidence(evidence) => self.core.poison.observe_evidence(&evidence),
             PeerMessage::SuspectParts(parts) => self.core.poison.object(&parts),
             PeerMessage::Quarantines(notices) => {
--- a/gateway/src/router_sink.rs
+++ b/gateway/src/router_sink.rs
@@ -58,7 +58,11 @@
     }
 
     fn forget(&self, core: &GatewayCore, id: &str) {
-        core.peer_addresses.lock().expect("peer lock").remove(id);
+        let mut peers = core.peer_addresses.lock().expect("peer lock");
+        peers.remove(id);
+        let mut relays = core.relays.lock().expect("relay lock");
+        relays.retain(|peer| peers.contains_key(peer));
+        drop((peers, relays));
         let mut quota_divider = core.quota_divider.lock().expect("quota divider lock");
         quota_divider.remove(id, Instant::now());
         drop(quota_divider);
--- a/gateway/src/run_count.rs
+++ b/gateway/src/run_count.rs
@@ -16,6 +16,16 @@
         self.runs.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Records that a peer may make up to `runs` attempts.
+    pub(crate) fn begin_relayed(&self, runs: u32) {
+        self.runs.fetch_add(runs, Ordering::Relaxed);
+    }
+
+    /// Records that no peer has taken the request for `runs` attempts.
+    pub(crate) fn record_not_relayed(&self, runs: u32) {
+        self.runs.fetch_sub(runs, Ordering::Relaxed);
+    }
+
     /// Records that an attempt has not executed the request.
     pub(crate) fn record_not_run(&self) {
         self.runs.fetch_sub(1, Ordering::Relaxed);
--- a/gateway/src/stall_probe.rs
+++ b/gateway/src/stall_probe.rs
@@ -17,6 +17,7 @@
 use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
+use crate::path_watch;
 use crate::peer_exchange;
 
 /// Interval between checks for stalled streams.
@@ -127,13 +128,16 @@
         runtime::spawn(async move {
             let fault = probe_member(control.as_ref(), address, &group, deadline).await;
             // The receiver outlives all senders.
-            let _ = sender.send(fault.map(|fault| (id, fault))).await;
+            let _ = sender.send((id, fault)).await;
         });
     }
     drop(sender);
     let mut found: Option<(EndpointId, MemberFault)> = None;
     while let Ok(result) = results.recv().await {
-        let Some((id, fault)) = result else {
+        let (id, fault) = result;
+        let is_reached = !matches!(fault, Some(MemberFault::Unresponsive { .. }));
+        path_watch::observe_probe(core, &id, is_reached);
+        let Some(fault) = fault else {
             continue;
         };
         if found
--- a/gateway/src/stream_attempt.rs
+++ b/gateway/src/stream_attempt.rs
@@ -19,6 +19,7 @@
 use crate::call_deadline::timeout_at;
 use crate::caller_request::CallerRequest;
 use crate::endpoint_call;
+use crate::endpoint_guard::EndpointGuard;
 use crate::event_source::EventSource;
 use crate::event_source::SourceItem;
 use crate::gateway_core::GatewayCore;
@@ -26,11 +27,11 @@
 use crate::stream_guard::StreamGuard;
 
 /// Largest error response that is buffered.
-const MAX_FAILURE_BYTES: usize = 1 << 20;
+pub(crate) const MAX_FAILURE_BYTES: usize = 1 << 20;
 
 /// A successfully opened stream.
 pub(crate) struct OpenStream {
-    pub(crate) guard: StreamGuard,
+    pub(crate) guard: Box<dyn StreamGuard>,
     pub(crate) parts: Parts,
     pub(crate) source: EventSource,
     /// The first events; `None` if the stream ended before any.
@@ -66,7 +67,7 @@
     ///
     /// An endpoint that is merely silent does not end the attempt. Another attempt may be in
     /// progress meanwhile, so the attempt counts itself.
-    pub(crate) async fn run(self, guard: StreamGuard) -> AttemptEnd {
+    pub(crate) async fn run(self, guard: EndpointGuard) -> AttemptEnd {
         self.count.begin();
         let end = self.open(guard).await;
         if let AttemptEnd::NotRun(_) = end {
@@ -75,7 +76,7 @@
         end
     }
 
-    async fn open(&self, mut guard: StreamGuard) -> AttemptEnd {
+    async fn open(&self, mut guard: EndpointGuard) -> AttemptEnd {
         let address = guard.reserved.target.address;
         let sent_at = Instant::now();
         let send = endpoint_call::send(&self.core, &self.request, &guard.reserved, self.after);
@@ -84,6 +85,8 @@
             Err(error) if !error.was_sent => {
                 let endpoint = &guard.reserved.target.endpoint;
                 self.core.mark_silent(endpoint, error.silence_kind());
+                self.core
+                    .observe_failure(&self.request.pool.service, endpoint);
                 self.core.poison.record_lost_endpoint(endpoint);
                 return AttemptEnd::NotRun(error);
             }
@@ -93,6 +96,9 @@
             }
         };
         guard.run.record_contact(Instant::now());
+        let service = &self.request.pool.service;
+        self.core
+            .observe_contact(service, guard.endpoint(), address);
         let status = answer.response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.core.handle_misdirected(&guard.reserved.target);
@@ -127,7 +133,7 @@
         }
         guard.observe_event();
         AttemptEnd::Open(Box::new(OpenStream {
-            guard,
+            guard: Box::new(guard),
             parts,
             source,
             first,
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -10,22 +10,35 @@
 use futures_lite::FutureExt;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONTENT_LENGTH;
 use jujuberoad::ids::EndpointId;
 use jujuberoad_node::backends::CallError;
+use jujuberoad_node::backends::CallStep;
 use jujuberoad_node::http::ReplyBody;
+use jujuberoad_node::http::full_body;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 
+use crate::bounded_body::read_whole;
 use crate::buffered_call::record_local_end;
+use crate::call_deadline::timeout_at;
 use crate::caller_request::CallerRequest;
+use crate::endpoint_guard::EndpointGuard;
+use crate::event_source::EventSource;
+use crate::event_source::SourceItem;
 use crate::gateway_core::GatewayCore;
 use crate::local_reply::LocalReply;
+use crate::relay_call;
+use crate::relay_call::RelayEnd;
+use crate::relay_call::RelayedResponse;
+use crate::relay_guard::RelayGuard;
 use crate::reserved_target::ReservedTarget;
 use crate::reserved_target::TargetQuery;
 use crate::run_count::RunCount;
 use crate::silence_watch::SilenceWatch;
 use crate::silence_watch::Wakeup;
 use crate::stream_attempt::AttemptEnd;
+use crate::stream_attempt::MAX_FAILURE_BYTES;
 use crate::stream_attempt::OpenStream;
 use crate::stream_attempt::StreamAttempt;
 use crate::stream_end::OpenEnd;
@@ -75,12 +88,15 @@
 impl StreamCall {
     pub(crate) fn new(core: Arc<GatewayCore>, request: CallerRequest) -> Self {
         let query = request.target_query(&core);
+        let relay_head = request.relay_head.as_ref();
+        let count: Arc<RunCount> = Arc::default();
+        count.begin_relayed(relay_head.map_or(0, |head| head.runs));
         Self {
+            owes_retry: relay_head.is_some_and(|head| head.is_retry),
             core,
             request: Arc::new(request),
-            count: Arc::default(),
+            count,
             query,
-            owes_retry: false,
             next_takeover_at: Instant::now(),
             waited_ms: 0,
         }
@@ -106,10 +122,21 @@
             if let Some(answer) = self.request.quarantine_reply(&self.core, self.runs()) {
                 return OpenEnd::Refused(answer);
             }
+            if self.core.is_severed(&self.query.pool.service)
+                && let Some(end) = self.relay(after).await
+            {
+                return end;
+            }
             let reserved = match ReservedTarget::reserve(&self.core, &self.query).await {
                 Ok(reserved) => reserved,
+                Err(_)
+                    if self.core.avoids_most(&self.query.pool)
+                        && let Some(end) = self.relay(after).await =>
+                {
+                    return end;
+                }
                 Err(reason) if self.runs() == 0 => {
-                    return OpenEnd::Refused(self.request.refusal(reason));
+                    return OpenEnd::Refused(self.request.refusal(&self.core, reason));
                 }
                 Err(reason) => {
                     let reason = format!("no other endpoint available: {reason}");
@@ -139,12 +166,17 @@
                 AttemptEnd::Failure(response) => return OpenEnd::Failure(response),
                 AttemptEnd::NotRun(error) => {
                     if let Some(answer) = self.settle_not_run(&endpoint, &error) {
+                        if !error.was_sent
+                            && let Some(end) = self.relay(after).await
+                        {
+                            return end;
+                        }
                         return OpenEnd::Refused(answer);
                     }
                 }
                 AttemptEnd::MayHaveRun(error) => {
                     if !self.may_retry_now() {
-                        return OpenEnd::Refused(self.unknown_reply(&error));
+                        return OpenEnd::Refused(self.request.unknown_reply(&error));
                     }
                     self.record_retry(&endpoint, &error);
                     self.prepare_retry();
@@ -153,6 +185,68 @@
         }
     }
 
+    /// Opens the stream through a peer; returns `None` if it may not be or none took it.
+    async fn relay(&mut self, after: Option<u64>) -> Option<OpenEnd> {
+        let runs = self.runs();
+        let attempts = self.request.attempts_left(runs);
+        if attempts == 0 || !self.request.may_be_relayed() {
+            return None;
+        }
+        let is_retry = self.owes_retry || runs > 0;
+        // The peer may make them all, also if this router does not hear of it.
+        self.count.begin_relayed(attempts);
+        let relayed = relay_call::relay(&self.core, &self.request, runs, is_retry, after);
+        match relayed.await {
+            RelayEnd::NoPeer => {
+                self.count.record_not_relayed(attempts);
+                None
+            }
+            RelayEnd::Lost(error) => Some(OpenEnd::Refused(self.request.unknown_reply(&error))),
+            RelayEnd::Answered(relayed) => Some(self.open_relayed(*relayed).await),
+        }
+    }
+
+    /// Waits for the first event of a stream that comes through a peer.
+    async fn open_relayed(&self, relayed: RelayedResponse) -> OpenEnd {
+        let RelayedResponse {
+            address,
+            response,
+            permit,
+        } = relayed;
+        let deadline = self.request.deadline;
+        if !response.status().is_success() {
+            let (parts, body) = response.into_parts();
+            return match read_whole(body, MAX_FAILURE_BYTES, address, deadline).await {
+                Ok(body) => {
+                    let response = Response::from_parts(parts, full_body(body));
+                    OpenEnd::Failure(Box::new(response))
+                }
+                Err(error) => OpenEnd::Refused(self.request.unknown_reply(&error)),
+            };
+        }
+        let (mut parts, body) = response.into_parts();
+        parts.headers.remove(CONTENT_LENGTH);
+        let mut source = EventSource::new(body);
+        let first = match timeout_at(deadline, source.next()).await {
+            Some(SourceItem::Events(events)) => Some(events),
+            Some(SourceItem::Ended) => None,
+            Some(SourceItem::Lost(reason)) => {
+                let error = CallError::sent(CallStep::Read, address, reason);
+                return OpenEnd::Refused(self.request.unknown_reply(&error));
+            }
+            Some(SourceItem::Expired) | None => {
+                let error = CallError::sent(CallStep::Read, address, "deadline passed");
+                return OpenEnd::Refused(self.request.unknown_reply(&error));
+            }
+        };
+        OpenEnd::Open(Box::new(OpenStream {
+            guard: Box::new(RelayGuard::new(permit)),
+            parts,
+            source,
+            first,
+        }))
+    }
+
     /// Prepares the next attempt after one that was not executed; returns the reply if there
     /// is none.
     fn settle_not_run(&mut self, endpoint: &EndpointId, error: &CallError) -> Option<LocalReply> {
@@ -198,7 +292,7 @@
         reserved: ReservedTarget,
         after: Option<u64>,
     ) -> Result<AttemptEnd, OpenEnd> {
-        let guard = StreamGuard::new(&self.core, reserved, &self.request);
+        let guard = EndpointGuard::new(&self.core, reserved, &self.request);
         let watch = SilenceWatch {
             endpoint: guard.endpoint().clone(),
             signal: guard.silence_signal(),
@@ -314,15 +408,6 @@
             .with_retry_at(self.request.pick_retry_at())
     }
 
-    fn unknown_reply(&self, error: &CallError) -> LocalReply {
-        let status = if Instant::now() >= self.request.deadline {
-            StatusCode::GATEWAY_TIMEOUT
-        } else {
-            StatusCode::BAD_GATEWAY
-        };
-        LocalReply::unknown(status, error.to_string())
-    }
-
     /// Logs that a stream stays at a silent endpoint.
     fn record_failed_takeover(&self, endpoint: &EndpointId, reason: &str) {
         self.core.log.write(
--- a/gateway/src/stream_guard.rs
+++ b/gateway/src/stream_guard.rs
@@ -1,101 +1,53 @@
-//! Registration of a stream with the detectors of stalls and of crashes.
+//! What is told of the events and the end of a stream while it is forwarded.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use jujuberoad::ids::EndpointId;
 use smol::channel::Receiver;
+use smol_str::SmolStr;
 
-use crate::caller_request::CallerRequest;
-use crate::gateway_core::GatewayCore;
-use crate::reserved_target::ReservedTarget;
-use crate::run_watch::RunWatch;
-use crate::stall_monitor::StreamNumber;
-
-/// Registration of a stream with the detectors of stalls and of crashes; dropping it removes
-/// the stream.
-pub(crate) struct StreamGuard {
-    core: Arc<GatewayCore>,
-    pub(crate) reserved: ReservedTarget,
-    number: StreamNumber,
-    pub(crate) run: RunWatch,
-    /// Receives a message each time the group of the stream is found silent or dissolved.
-    silence: Receiver<()>,
-    was_silent: Arc<AtomicBool>,
-}
-
-impl StreamGuard {
-    /// Registers a stream that is about to be opened at `reserved`.
-    pub(crate) fn new(
-        core: &Arc<GatewayCore>,
-        reserved: ReservedTarget,
-        request: &Arc<CallerRequest>,
-    ) -> Self {
-        let first_event_timeout = {
-            let latency = core.first_events.lock().expect("first event lock");
-            latency.first_event_timeout(&request.pool)
-        };
-        let run = RunWatch::new(core, request, &reserved.target.endpoint);
-        let (number, silence) = core
-            .stalls
-            .add_stream(&reserved.target, first_event_timeout);
-        Self {
-            core: Arc::clone(core),
-            reserved,
-            number,
-            run,
-            silence,
-            was_silent: Arc::default(),
-        }
-    }
-
+/// The source of a stream that is being forwarded; dropping it ends the run there.
+pub(crate) trait StreamGuard: Send {
     /// Records that events have arrived, which makes earlier signals of silence void.
-    pub(crate) fn observe_event(&mut self) {
-        while self.silence.try_recv().is_ok() {}
-        self.reserved.record_prompt_processed();
-        self.run.record_event();
-        let stalls = &self.core.stalls;
-        let recovered = stalls.observe_event(&self.reserved.target.endpoint, self.number);
-        for member in recovered {
-            self.core.clear_unreachable(&member);
-        }
-    }
+    fn observe_event(&mut self);
 
-    /// Returns the endpoint that serves the stream.
-    pub(crate) fn endpoint(&self) -> &EndpointId {
-        &self.reserved.target.endpoint
-    }
+    /// Returns the endpoint or the router that the stream comes from.
+    fn place(&self) -> &SmolStr;
+
+    /// Returns the group that serves the stream, if this router knows it.
+    fn group(&self) -> Option<String>;
 
     /// Returns a signal that does not borrow the guard.
-    pub(crate) fn silence_signal(&self) -> SilenceSignal {
-        SilenceSignal {
-            silence: self.silence.clone(),
-            was_silent: Arc::clone(&self.was_silent),
-        }
-    }
+    fn silence_signal(&self) -> SilenceSignal;
 
-    /// Returns whether the stream has been signalled as silent.
-    pub(crate) fn was_silent(&self) -> bool {
-        self.was_silent.load(Ordering::Relaxed)
-    }
-}
+    /// Records that the answer came whole.
+    fn record_complete(&mut self);
 
-impl Drop for StreamGuard {
-    fn drop(&mut self) {
-        self.core
-            .stalls
-            .remove_stream(&self.reserved.target.endpoint, self.number);
-    }
+    /// Records that the connection was lost before the end of the answer.
+    fn record_lost(&mut self);
+
+    /// Returns the time from the first event of the run until its end or until now; `None` if
+    /// it had no event.
+    fn run_ms(&self) -> Option<u64>;
 }
 
 /// Tells that the group of a stream is suspected to be lost.
+#[derive(Clone)]
 pub(crate) struct SilenceSignal {
     silence: Receiver<()>,
     was_silent: Arc<AtomicBool>,
 }
 
 impl SilenceSignal {
+    /// Creates a signal from the messages of `silence`.
+    pub(crate) fn new(silence: Receiver<()>) -> Self {
+        Self {
+            silence,
+            was_silent: Arc::default(),
+        }
+    }
+
     /// Waits for the next signal; forever once the stream has ended.
     pub(crate) async fn wait(&self) {
         if self.silence.recv().await.is_err() {
@@ -103,4 +55,14 @@
         }
         self.was_silent.store(true, Ordering::Relaxed);
     }
+
+    /// Drops pending signals.
+    pub(crate) fn clear(&self) {
+        while self.silence.try_recv().is_ok() {}
+    }
+
+    /// Returns whether a signal has been taken.
+    pub(crate) fn was_silent(&self) -> bool {
+        self.was_silent.load(Ordering::Relaxed)
+    }
 }
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -35,7 +35,7 @@
 /// disconnects.
 pub(crate) struct StreamRelay {
     call: StreamCall,
-    guard: StreamGuard,
+    guard: Box<dyn StreamGuard>,
     source: EventSource,
     first: Option<Vec<WholeEvent>>,
     last_event: Option<u64>,
@@ -97,7 +97,7 @@
                     }
                 }
                 SourceItem::Ended => {
-                    self.guard.run.record_complete();
+                    self.guard.record_complete();
                     self.end("answered", "complete");
                     return None;
                 }
@@ -105,7 +105,7 @@
                     return Some(Err(self.end_broken("deadline passed".to_owned())));
                 }
                 SourceItem::Lost(reason) => {
-                    self.guard.run.record_lost();
+                    self.guard.record_lost();
                     if let Err(reason) = self.resume(&reason).await {
                         return Some(Err(self.end_broken(reason)));
                     }
@@ -124,7 +124,7 @@
     /// one falls silent.
     async fn next_item(&mut self) -> SourceItem {
         let watch = SilenceWatch {
-            endpoint: self.guard.endpoint().clone(),
+            endpoint: self.guard.place().clone(),
             signal: self.guard.silence_signal(),
             idle_deadline: Some(Instant::now() + STREAM_IDLE_TIMEOUT),
         };
@@ -194,12 +194,12 @@
             LogKind::Resume,
             json!({
                 "request": self.call.request.id,
-                "from": self.guard.endpoint(),
-                "to": run.guard.endpoint(),
+                "from": self.guard.place(),
+                "to": run.guard.place(),
                 "after_event": self.last_event,
                 "reason": reason,
                 "silent_ms": self.last_sent_at.elapsed().as_millis() as u64,
-                "run_ms": self.guard.run.run_ms(),
+                "run_ms": self.guard.run_ms(),
                 "fingerprint": self.call.request.fingerprint,
                 "prompt_parts": self.call.request.head.shared_prompt_parts[..],
             }),
@@ -227,8 +227,8 @@
                 "route": request.route.name,
                 "team": request.team,
                 "model": request.head.model,
-                "endpoint": self.guard.endpoint(),
-                "group": self.guard.reserved.target.group.as_ref().map(ToString::to_string),
+                "endpoint": self.guard.place(),
+                "group": self.guard.group(),
                 "outcome": outcome,
                 "reason": reason,
                 "runs": self.call.runs(),
@@ -237,7 +237,7 @@
                 "waited_ms": self.call.waited_ms,
                 "first_ms": self.first_ms,
                 "longest_gap_ms": self.longest_gap_ms,
-                "run_ms": self.guard.run.run_ms(),
+                "run_ms": self.guard.run_ms(),
                 "total_ms": request.age_ms(),
                 "prompt_tokens": request.head.prompt_tokens,
                 "prompt_parts": request.head.shared_prompt_parts[..],
--- a/lib/src/peer/mod.rs
+++ b/lib/src/peer/mod.rs
@@ -2,9 +2,12 @@
 
 mod peer_frame;
 mod peer_message;
+mod relay_head;
 
 pub use peer_frame::PeerFrame;
 pub use peer_message::PeerMessage;
+pub use relay_head::RelayHead;
+pub use relay_head::RelayHeadError;
 
 /// Version of the peer protocol; frames with another version are dropped.
 pub const PEER_VERSION: u8 = 1;
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -18,6 +18,7 @@
 use crate::ids::Milliseconds;
 use crate::ids::Nonce;
 use crate::ids::PromptPartId;
+use crate::ids::ServiceId;
 use crate::membership::ConfirmedVersion;
 use crate::membership::PeerVote;
 use crate::poison::CrashEvidence;
@@ -123,6 +124,8 @@
     Quarantines(Vec<QuarantineNotice>),
     /// Tells of limits on the rate of requests that endpoints have named, changed or ended.
     RequestLimits(Vec<LimitNotice>),
+    /// Tells to which services the sender has lost its path; none if it has them all again.
+    LostPaths(BTreeSet<ServiceId>),
 }
 
 impl PeerMessage {
--- a/node/src/backends/serving_dialect.rs
+++ b/node/src/backends/serving_dialect.rs
@@ -115,6 +115,16 @@
     /// Turns the headers of a caller's request into those for an endpoint.
     fn write_endpoint_head(&self, headers: &mut HeaderMap, head: &EndpointHead);
 
+    /// Turns the headers of a caller's request into those for another router, which has
+    /// `remaining_ms` for it and resumes its stream after event `resume_after`. The key of the
+    /// caller stays.
+    fn write_relay_head(
+        &self,
+        headers: &mut HeaderMap,
+        remaining_ms: Milliseconds,
+        resume_after: Option<u64>,
+    );
+
     /// Reads the status and headers of an endpoint's response.
     fn read_response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -35,6 +35,10 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of idle connections kept for each peer.
 const MAX_IDLE_PER_PEER: usize = 64;
+/// Number of peers above which the times of old connections are forgotten.
+const MAX_OPENED_ENTRIES: usize = 1_024;
+/// Age at which the time of a connection is forgotten then.
+const OPENED_LIFETIME: Duration = Duration::from_secs(10);
 /// Default connect timeout.
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 /// Default limit for unacknowledged data; longer than the slowest round trip with a few lost
@@ -56,6 +60,8 @@
     connect_timeout_ms: Milliseconds,
     unacknowledged_ms: Milliseconds,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// When the last connection to each peer was opened.
+    opened: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 /// A connection that no other request uses.
@@ -91,6 +97,7 @@
             connect_timeout_ms,
             unacknowledged_ms,
             idle: Mutex::default(),
+            opened: Mutex::default(),
         })
     }
 
@@ -140,6 +147,19 @@
         ))
     }
 
+    /// Opens a connection to `address`, which the next request uses.
+    pub async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<(), CallError> {
+        let connection = self.connect(address, deadline).await?;
+        self.put_idle(address, connection);
+        Ok(())
+    }
+
+    /// Returns when the last connection to `address` was opened; `None` if that is long ago.
+    pub fn opened_at(&self, address: SocketAddr) -> Option<Instant> {
+        let opened = self.opened.lock().expect("pool lock");
+        opened.get(&address).copied()
+    }
+
     /// Sends a request and buffers the whole response, by `deadline`.
     pub async fn exchange(
         self: &Arc<Self>,
@@ -270,13 +290,23 @@
             // Errors of the connection are also returned by the sender.
             let _ = connection.await;
         });
+        let opened_at = Instant::now();
+        self.record_opened(address, opened_at);
         Ok(PooledConnection {
             sender,
             interim,
-            opened_at: Instant::now(),
+            opened_at,
         })
     }
 
+    fn record_opened(&self, address: SocketAddr, opened_at: Instant) {
+        let mut opened = self.opened.lock().expect("pool lock");
+        if opened.len() >= MAX_OPENED_ENTRIES {
+            opened.retain(|_, at| opened_at < *at + OPENED_LIFETIME);
+        }
+        opened.insert(address, opened_at);
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<PooledConnection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().expect("pool lock");
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -44,6 +44,8 @@
     Retry,
     /// A stream was resumed at another endpoint.
     Resume,
+    /// A request was sent through a peer.
+    Relay,
     /// A run lost its connection to an endpoint before it counted as survived.
     Crash,
     /// A part of a prompt began or ceased to be refused.
