gateway: a placer without a path to engines gives its lock up

What operators would see: while the placer is cut off from the engines, no group is repaired, and once its path is back it replaces the sound groups that it held for lost. Cause: as for callers, the placer took its own lost path for the loss of all engines; its lease in the store stayed valid, so nobody took over. Ruled out: that a peer acquires the lock by itself; the lease lives on. Change: after 500 ms without a path to engines the placer deletes its lock under its fence, plans nothing, and acquires no lock until its path is back.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -294,6 +294,21 @@
         self.paths().severed_services(services, Instant::now())
     }
 
+    /// Returns whether this router has lost its path to engines, so that it can give no orders.
+    pub(crate) fn has_lost_engines(&self) -> bool {
+        let severed = self.severed_services();
+        severed.iter().any(|service| self.has_engines(service))
+    }
+
+    /// Returns whether a service serves models in groups.
+    pub(crate) fn has_engines(&self, service: &ServiceId) -> bool {
+        let config = self.fleet.view().config;
+        let profile = config
+            .as_ref()
+            .and_then(|config| config.services.get(service));
+        profile.is_some_and(|profile| profile.engine.is_some())
+    }
+
     /// Returns whether this router avoids more than half of the targets of a pool.
     pub(crate) fn avoids_most(&self, pool: &PoolKey) -> bool {
         let view = self.fleet.view();
--- a/gateway/src/path_watch.rs
+++ b/gateway/src/path_watch.rs
@@ -19,6 +19,7 @@
 
 use crate::gateway_core::GatewayCore;
 use crate::peer_exchange;
+use crate::store_session;
 
 /// Interval between reviews, announcements and trials.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(150);
@@ -28,6 +29,8 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Announcements after the last path is back, because datagrams may be lost.
 const FINAL_ANNOUNCEMENTS: u32 = 3;
+/// Time without a path to engines after which the placer gives its lock up.
+const PLACER_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Starts the loop that tries lost paths and tells peers of them.
 pub(crate) fn start(core: Arc<GatewayCore>) {
@@ -41,6 +44,7 @@
             if !severed.is_empty() {
                 announcements = FINAL_ANNOUNCEMENTS;
                 try_paths(&core, &severed);
+                release_lock(&core, &severed_since).await;
             }
             if announcements > 0 {
                 announcements -= 1;
@@ -127,6 +131,18 @@
     }
 }
 
+/// Gives the placer's lock up if this router can give no orders, so that a peer takes over.
+async fn release_lock(core: &GatewayCore, severed_since: &BTreeMap<ServiceId, Instant>) {
+    let now = Instant::now();
+    let is_over = |since: &Instant| now >= *since + PLACER_PATIENCE;
+    let mut severed = severed_since.iter();
+    let has_lost_engines =
+        severed.any(|(service, since)| core.has_engines(service) && is_over(since));
+    if has_lost_engines && core.order_fence().is_some() {
+        store_session::release_placer_lock(core).await;
+    }
+}
+
 /// Records what a probe of an endpoint shows of the path to it.
 pub(crate) fn observe_probe(core: &GatewayCore, endpoint: &EndpointId, is_reached: bool) {
     let Some(record) = core.fleet.endpoint(endpoint) else {
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -66,7 +66,8 @@
     let Some(config) = &view.config else {
         return;
     };
-    if view.registry_confirmed_at.is_none() {
+    // Without a path to engines, all of them seem to be lost and no order arrives.
+    if view.registry_confirmed_at.is_none() || core.has_lost_engines() {
         return;
     }
     let unreachable: BTreeSet<EndpointId> = core.avoided_endpoints();
--- a/gateway/src/store_session.rs
+++ b/gateway/src/store_session.rs
@@ -272,6 +272,34 @@
     );
 }
 
+/// Gives the placer's lock up, so that a peer that reaches the engines acquires it.
+pub(crate) async fn release_placer_lock(core: &GatewayCore) {
+    let Some(fence) = core.order_fence() else {
+        return;
+    };
+    let transaction = StoreTransaction {
+        era: core.session.era().unwrap_or(0),
+        conditions: vec![(PLACER_KEY.to_owned(), fence)],
+        deletions: vec![PLACER_KEY.to_owned()],
+        ..StoreTransaction::default()
+    };
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let released = core.backends.store.transact(transaction, deadline).await;
+    let (state, reason) = match released {
+        Ok(_) => {
+            let mut session = core.session.lock();
+            session.order_authority.lock_lost();
+            session.lock_nonce = None;
+            ("released", "the path to the engines is lost".to_owned())
+        }
+        Err(error) => ("not released", error.to_string()),
+    };
+    core.log.write(
+        LogKind::Lease,
+        json!({"fence": fence, "state": state, "reason": reason}),
+    );
+}
+
 /// Opens or renews the lease, registers this router and acquires a free lock.
 pub(crate) async fn renew_session(core: &GatewayCore) -> Result<(), StoreError> {
     let deadline = Instant::now() + CALL_TIMEOUT;
@@ -331,6 +359,9 @@
             return Ok(());
         }
     }
+    if core.has_lost_engines() {
+        return Ok(());
+    }
     let nonce = core.session.lock_nonce();
     let transaction = StoreTransaction {
         era: core.session.era().unwrap_or(0),
