gateway: routers without a path take no groups away from their peers

What callers would see: at routers that reach all endpoints, groups were avoided for two seconds because a router that had lost its own path reported them. Cause: a router without streams at a group believes a peer's report without a probe of its own. Ruled out: the placer, which probes, and routers with streams there. Change: a router whose path may be lost reports no group, and reports of a peer that has announced a lost path are ignored.

--- a/gateway/src/path_watch.rs
+++ b/gateway/src/path_watch.rs
@@ -154,3 +154,9 @@
         core.observe_failure(&record.service, endpoint);
     }
 }
+
+/// Returns whether the path to the service of an endpoint may be lost.
+pub(crate) fn is_doubtful(core: &GatewayCore, endpoint: &EndpointId) -> bool {
+    let record = core.fleet.endpoint(endpoint);
+    record.is_some_and(|record| core.paths().is_doubtful(&record.service, Instant::now()))
+}
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -324,7 +324,16 @@
                 endpoint,
                 group,
                 lost,
-            } => self.handle_group_failure(&endpoint, &group, lost.as_ref()),
+            } => {
+                // What such a peer sees of groups says more of its own paths.
+                let now = Instant::now();
+                let relays = self.core.relays.lock().expect("relay lock");
+                let is_cut_off = relays.has_lost_paths(&frame.sender, now);
+                drop(relays);
+                if !is_cut_off {
+                    self.handle_group_failure(&endpoint, &group, lost.as_ref());
+                }
+            }
             PeerMessage::LostPaths(services) => {
                 path_watch::observe_peer(&self.core, &frame.sender, services);
             }
--- a/gateway/src/stall_probe.rs
+++ b/gateway/src/stall_probe.rs
@@ -89,7 +89,9 @@
     let reason = fault.to_string();
     let found = Some((&member, reason.as_str(), streams));
     log_verdict(core, &target, cause, fault.name(), found);
-    if cause == ProbeCause::Silence {
+    // While the path of this router is in doubt, what it sees says little of the group.
+    let is_path_doubtful = path_watch::is_doubtful(core, &target.endpoint);
+    if cause == ProbeCause::Silence && !is_path_doubtful {
         notify_peers(core, target, member, &fault).await;
     }
 }
