gateway: trials of a lost path keep no connections

What callers saw: while some routers had a path to one of three endpoints of the plain service, calls to it were reset, and those that may not be repeated ended with 502. Cause: each trial left its connection in the pool, up to 64 for each router and endpoint; together they filled the endpoint's limit of 110. Ruled out: the load of that endpoint (6 slots, some 20 calls a second); the cut, which spares it. Change: a trial opens a connection and closes it.

--- a/gateway/src/path_watch.rs
+++ b/gateway/src/path_watch.rs
@@ -124,7 +124,7 @@
 async fn try_endpoint(core: &GatewayCore, record: &EndpointRecord) {
     core.metrics.path_trials.inc();
     let deadline = Instant::now() + TRIAL_TIMEOUT;
-    match core.pool.open(record.address, deadline).await {
+    match core.pool.try_connect(record.address, deadline).await {
         Ok(()) => core.observe_contact(&record.service, &record.id, record.address),
         // The verdict of the review is logged; single trials are only counted.
         Err(_) => core.observe_failure(&record.service, &record.id),
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -147,11 +147,14 @@
         ))
     }
 
-    /// Opens a connection to `address`, which the next request uses.
-    pub async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<(), CallError> {
-        let connection = self.connect(address, deadline).await?;
-        self.put_idle(address, connection);
-        Ok(())
+    /// Opens a connection to `address` and closes it, to find out whether the peer is reached.
+    /// Peers limit the number of open connections, so it is not kept.
+    pub async fn try_connect(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<(), CallError> {
+        self.connect(address, deadline).await.map(drop)
     }
 
     /// Returns when the last connection to `address` was opened; `None` if that is long ago.
