gateway: the router that relays a resumed stream pays for it, and peers let it wait

What callers saw: streams in progress when the paths of most routers were lost ended, since nobody took them over in the first second. Cause: a relayed resume was a new late request to the peer. It got no time to wait for a slot, its retry came from the share of the few routers with a path, and a refusal there counted as all attempts that the route allows. Plain requests whose attempts never left the router were called retries, too. Ruled out: that the endpoints were full; `no_slot_in_time` after 0 ms. Change: the sender takes the retry from its own share; the peer lets a request with earlier attempts wait as its own resumes do; what a peer refuses before an attempt of its own is `unable`, which costs no attempt and is never "not run" to a caller whose request may have run elsewhere. A relay that has no attempt left is refused.

--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -143,8 +143,7 @@
             let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
             return self.refuse(reply.for_other_router(), &request.id, request.uri.path());
         }
-        let earlier_runs = request.relay_head.as_ref().map_or(0, |head| head.runs);
-        if request.attempts_left(earlier_runs) == 0 {
+        if request.attempts_left(request.earlier_runs()) == 0 {
             let reason = "the relayed request has used up its attempts";
             let reply = LocalReply::not_run(StatusCode::BAD_REQUEST, reason);
             return self.refuse(reply, &request.id, request.uri.path());
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Returns the number of attempts at another router that may have executed the request.
+    pub(crate) fn earlier_runs(&self) -> u32 {
+        self.relay_head.as_ref().map_or(0, |head| head.runs)
+    }
+
     /// Returns whether the request may go through a peer; it is relayed only once.
     pub(crate) fn may_be_relayed(&self) -> bool {
         self.relay_head.is_none()
@@ -138,6 +143,16 @@
         LocalReply::unknown(status, error.to_string())
     }
 
+    /// Returns the reply to a request that may not be sent once more, after `runs` attempts that
+    /// may have executed it.
+    pub(crate) fn retry_refusal(&self, runs: u32, reason: &str) -> LocalReply {
+        if runs > 0 {
+            return LocalReply::unknown(StatusCode::BAD_GATEWAY, reason);
+        }
+        LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+            .with_retry_at(self.pick_retry_at())
+    }
+
     /// Returns the reply to a request that is quarantined, itself or by its prompt, or `None` if
     /// it is not; `runs` attempts may have been executed.
     pub(crate) fn quarantine_reply(&self, core: &GatewayCore, runs: u32) -> Option<LocalReply> {
--- a/gateway/src/relay_api.rs
+++ b/gateway/src/relay_api.rs
@@ -9,6 +9,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use jujuberoad::peer::RelayHead;
 use jujuberoad_node::http::HttpHandler;
 use jujuberoad_node::http::ReplyBody;
@@ -18,6 +19,7 @@
 use crate::gateway_core::GatewayCore;
 use crate::local_reply::LocalReply;
 use crate::relay_call::RELAY_HEADER;
+use crate::relay_call::RELAY_UNABLE;
 
 /// Maximum number of relayed requests in progress.
 const MAX_RELAYED: u32 = 1_024;
@@ -72,7 +74,19 @@
             return self.callers.refuse(reply.for_other_router(), &id, &path);
         }
         let _count = RelayedCount::new(&self.in_progress);
-        self.callers.respond(request, Some(head)).await
+        let runs = head.runs;
+        let mut response = self.callers.respond(request, Some(head)).await;
+        // An attempt at the other router may have executed the request, so its caller must not be
+        // told that it was not.
+        let dialect = &self.core.backends.dialect;
+        let is_local = !dialect
+            .read_response_head(response.status(), response.headers())
+            .is_signed;
+        if runs > 0 && is_local && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let mark = HeaderValue::from_static(RELAY_UNABLE);
+            response.headers_mut().insert(RELAY_HEADER, mark);
+        }
+        response
     }
 }
 
--- a/gateway/src/relay_call.rs
+++ b/gateway/src/relay_call.rs
@@ -82,14 +82,12 @@
     core: &Arc<GatewayCore>,
     request: &CallerRequest,
     runs: u32,
-    is_retry: bool,
     resume_after: Option<u64>,
 ) -> RelayEnd {
     let head = RelayHead {
         sender: core.settings.id.clone(),
         config_version: request.config_version,
         runs,
-        is_retry,
         is_counted: request.is_counted,
     };
     for _ in 0..MAX_PEERS {
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -88,18 +88,22 @@
 impl StreamCall {
     pub(crate) fn new(core: Arc<GatewayCore>, request: CallerRequest) -> Self {
         let query = request.target_query(&core);
-        let relay_head = request.relay_head.as_ref();
+        let earlier_runs = request.earlier_runs();
         let count: Arc<RunCount> = Arc::default();
-        count.begin_relayed(relay_head.map_or(0, |head| head.runs));
-        Self {
-            owes_retry: relay_head.is_some_and(|head| head.is_retry),
+        count.begin_relayed(earlier_runs);
+        let mut call = Self {
+            owes_retry: false,
             core,
             request: Arc::new(request),
             count,
             query,
             next_takeover_at: Instant::now(),
             waited_ms: 0,
+        };
+        if earlier_runs > 0 {
+            call.expedite();
         }
+        call
     }
 
     /// Returns the response of an endpoint once its first event has arrived, or a local
@@ -119,7 +123,7 @@
     /// Opens the stream at an endpoint, starting after event `after`.
     pub(crate) async fn open(&mut self, after: Option<u64>) -> OpenEnd {
         loop {
-            if let Some(answer) = self.request.quarantine_reply(&self.core, self.runs()) {
+            if let Some(answer) = self.request.quarantine_reply(&self.core, self.own_runs()) {
                 return OpenEnd::Refused(answer);
             }
             if self.core.is_severed(&self.query.pool.service)
@@ -135,7 +139,7 @@
                 {
                     return end;
                 }
-                Err(reason) if self.runs() == 0 => {
+                Err(reason) if self.own_runs() == 0 => {
                     return OpenEnd::Refused(self.request.refusal(&self.core, reason));
                 }
                 Err(reason) => {
@@ -145,12 +149,12 @@
                 }
             };
             // The request may have waited for its slot.
-            if let Some(answer) = self.request.quarantine_reply(&self.core, self.runs()) {
+            if let Some(answer) = self.request.quarantine_reply(&self.core, self.own_runs()) {
                 return OpenEnd::Refused(answer);
             }
             if std::mem::take(&mut self.owes_retry) && !self.core.try_take_retry() {
                 let reason = "the retry budget is used up";
-                return OpenEnd::Refused(self.retry_refusal(reason));
+                return OpenEnd::Refused(self.request.retry_refusal(self.own_runs(), reason));
             }
             if self.runs() == 0 {
                 self.waited_ms = self.request.age_ms();
@@ -192,10 +196,14 @@
         if attempts == 0 || !self.request.may_be_relayed() {
             return None;
         }
-        let is_retry = self.owes_retry || runs > 0;
+        if std::mem::take(&mut self.owes_retry) && !self.core.try_take_retry() {
+            let reason = "the retry budget is used up";
+            let reply = self.request.retry_refusal(self.own_runs(), reason);
+            return Some(OpenEnd::Refused(reply));
+        }
         // The peer may make them all, also if this router does not hear of it.
         self.count.begin_relayed(attempts);
-        let relayed = relay_call::relay(&self.core, &self.request, runs, is_retry, after);
+        let relayed = relay_call::relay(&self.core, &self.request, runs, after);
         match relayed.await {
             RelayEnd::NoPeer => {
                 self.count.record_not_relayed(attempts);
@@ -253,7 +261,7 @@
         self.owes_retry = error.was_sent;
         let is_allowed = !error.was_sent || self.core.has_retry();
         if self.count.unexecuted() >= MAX_UNEXECUTED_ATTEMPTS || !is_allowed {
-            return Some(self.request.not_run_reply(self.runs(), error));
+            return Some(self.request.not_run_reply(self.own_runs(), error));
         }
         self.record_retry(endpoint, error);
         None
@@ -265,6 +273,11 @@
         self.count.runs()
     }
 
+    /// Returns the number of those attempts that this router has made.
+    fn own_runs(&self) -> u32 {
+        self.runs().saturating_sub(self.request.earlier_runs())
+    }
+
     /// Returns whether the route allows the stream to be reopened at another endpoint.
     pub(crate) fn may_retry(&self) -> bool {
         self.request.route.is_repeatable() && self.runs() < self.request.route.max_attempts
@@ -275,10 +288,15 @@
         self.may_retry() && Instant::now() < self.request.deadline && self.core.has_retry()
     }
 
-    /// Makes the next attempt precede requests that have not started, limits its wait for a
-    /// slot to [`MAX_RESUME_WAIT`], and lets it take a retry from the budget once it has one.
+    /// Expedites the next attempt and lets it take a retry from the budget once it has a slot.
     pub(crate) fn prepare_retry(&mut self) {
         self.owes_retry = true;
+        self.expedite();
+    }
+
+    /// Makes the next attempt precede requests that have not started, and limits its wait for a
+    /// slot to [`MAX_RESUME_WAIT`].
+    fn expedite(&mut self) {
         self.query.is_resumed = true;
         self.query.queue_deadline = self.request.deadline.min(Instant::now() + MAX_RESUME_WAIT);
     }
@@ -399,15 +417,6 @@
         Box::pin(self.open(after))
     }
 
-    /// Returns the reply to a request that may not be sent once more.
-    fn retry_refusal(&self, reason: &str) -> LocalReply {
-        if self.runs() > 0 {
-            return LocalReply::unknown(StatusCode::BAD_GATEWAY, reason);
-        }
-        LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-            .with_retry_at(self.request.pick_retry_at())
-    }
-
     /// Logs that a stream stays at a silent endpoint.
     fn record_failed_takeover(&self, endpoint: &EndpointId, reason: &str) {
         self.core.log.write(
--- a/lib/src/peer/relay_head.rs
+++ b/lib/src/peer/relay_head.rs
@@ -17,10 +17,9 @@
     /// Version of the configuration under which it was admitted. A receiver with an older one
     /// refuses it.
     pub config_version: Revision,
-    /// Attempts in which the request may have been executed.
+    /// Attempts in which the request may have been executed. If there are any, the sender has
+    /// taken a retry from its share of the budget for the next one.
     pub runs: u32,
-    /// Whether an earlier attempt may have arrived at an endpoint, so that the next one is a retry.
-    pub is_retry: bool,
     /// Whether the sender has counted the request for the retry budget.
     pub is_counted: bool,
 }
@@ -32,9 +31,13 @@
 
 impl fmt::Display for RelayHead {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (is_retry, is_counted) = (u8::from(self.is_retry), u8::from(self.is_counted));
-        let (config, runs) = (self.config_version, self.runs);
-        write!(f, "{config},{runs},{is_retry},{is_counted},{}", self.sender)
+        let (config, runs, is_counted) = (self.config_version, self.runs, self.is_counted);
+        write!(
+            f,
+            "{config},{runs},{},{}",
+            u8::from(is_counted),
+            self.sender
+        )
     }
 }
 
@@ -42,11 +45,10 @@
     type Err = RelayHeadError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut fields = text.splitn(5, ',');
+        let mut fields = text.splitn(4, ',');
         let mut next = || fields.next().ok_or(RelayHeadError);
         let config_version = next()?.parse().map_err(|_| RelayHeadError)?;
         let runs = next()?.parse().map_err(|_| RelayHeadError)?;
-        let is_retry = flag(next()?)?;
         let is_counted = flag(next()?)?;
         let sender = RouterId::from(next()?);
         if sender.is_empty() {
@@ -56,7 +58,6 @@
             sender,
             config_version,
             runs,
-            is_retry,
             is_counted,
         })
     }
