gateway: log the rests that endpoints ask for, and that they leave

Cause: no line told whether a rest was read, so the three hypotheses of the incident could not be told apart. Ruled out: any change of where requests go; only lines are written. Change: Retry-After of a 503 and Server-Leaving of any response are decoded; malformed rests are logged as damaged.

--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -20,6 +20,7 @@
 use crate::gateway_core::GatewayCore;
 use crate::limit_watch;
 use crate::reserved_target::ReservedTarget;
+use crate::rest_watch;
 
 /// A response whose head has been validated; its body is not read yet.
 pub(crate) struct EndpointResponse {
@@ -47,6 +48,11 @@
         .backends
         .dialect
         .read_response_head(response.status(), response.headers());
+    // A misdirected request was answered by another endpoint.
+    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        rest_watch::observe_response(core, &reserved.target.endpoint, &head);
+    }
     // Endpoints name the request in every response. One that names none may be a late copy of
     // the response to an earlier request on the same connection.
     if head.request_id.as_ref() != Some(&request.id) {
@@ -60,8 +66,7 @@
         );
         return Err(CallError::sent(CallStep::Decode, address, message));
     }
-    // A misdirected request was answered by another endpoint.
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+    if !is_misdirected {
         limit_watch::observe_response(core, &reserved.target.endpoint, &head, sent_at);
     }
     remove_connection_headers(response.headers_mut());
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod report_poll;
 mod request_body;
 mod reserved_target;
+mod rest_watch;
 mod router_sink;
 mod run_count;
 mod run_watch;
--- a/node/src/backends/serving_dialect.rs
+++ b/node/src/backends/serving_dialect.rs
@@ -16,6 +16,7 @@
 use smol_str::SmolStr;
 
 use super::StatedLimit;
+use super::StatedRest;
 
 /// Fields read from the headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -67,6 +68,10 @@
     pub load: Option<(u32, u32)>,
     /// Rate of requests that the endpoint takes.
     pub request_limit: StatedLimit,
+    /// Rest that the endpoint wants from this router alone.
+    pub rest: StatedRest,
+    /// Whether the endpoint shuts down and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// A value that cannot be decoded.
