fleet, gateway: an endpoint that asks for a rest gets none of this router's requests

Cause: the time that a refusal asks for was dropped, and the choice by load prefers an endpoint that refuses, since its slots are free. The class: what endpoints say of themselves in answers is not read, as with limits. Ruled out: late reading (the first refusal tells); retries alone. Change: AvoidList keeps rests beside its other reasons; where all endpoints rest, callers are refused at once with the end of the first rest. Why it works: the choice, retries and resumes all go through AvoidList. Out of reach is told from avoided, so that requests do not go around a rest through a peer.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -74,7 +74,7 @@
             let reserved = match ReservedTarget::reserve(&self.core, &query).await {
                 Ok(reserved) => reserved,
                 Err(_)
-                    if self.core.avoids_most(&query.pool)
+                    if self.core.misses_most(&query.pool)
                         && let Some(response) = self.relay().await =>
                 {
                     return response;
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -177,10 +177,14 @@
     /// Returns the reply to a request for which no target could be reserved.
     pub(crate) fn refusal(&self, core: &GatewayCore, reason: ReserveError) -> LocalReply {
         let pool = &self.pool;
+        let retry_at = match reason {
+            ReserveError::Resting(until) => until,
+            _ => self.pick_retry_at(),
+        };
         let reason = format!("no endpoint of service {:?}: {reason}", pool.service);
-        let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-            .with_retry_at(self.pick_retry_at());
-        if self.relay_head.is_some() && core.avoids_most(pool) {
+        let reply =
+            LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_at(retry_at);
+        if self.relay_head.is_some() && core.misses_most(pool) {
             return reply.for_other_router();
         }
         reply
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -309,11 +309,16 @@
         profile.is_some_and(|profile| profile.engine.is_some())
     }
 
-    /// Returns whether this router avoids more than half of the targets of a pool.
-    pub(crate) fn avoids_most(&self, pool: &PoolKey) -> bool {
+    /// Returns whether more than half of the targets of a pool do not respond to this router.
+    pub(crate) fn misses_most(&self, pool: &PoolKey) -> bool {
         let view = self.fleet.view();
         let targets = view.targets.pool(pool);
-        2 * self.count_avoided(targets) > targets.len()
+        let now = Instant::now();
+        let avoided = self.avoided();
+        let missed = targets
+            .iter()
+            .filter(|target| avoided.is_out_of_reach(target, now));
+        2 * missed.count() > targets.len()
     }
 
     /// Locks and returns what this router has seen of its paths.
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -53,6 +53,7 @@
     pub(crate) stalls: Counter,
     pub(crate) crashes: Counter,
     pub(crate) relays: Counter,
+    pub(crate) rests: Counter,
     pub(crate) lost_paths: Counter,
     pub(crate) path_trials: Counter,
     pub(crate) quarantines: Gauge<i64, std::sync::atomic::AtomicI64>,
@@ -80,6 +81,7 @@
             stalls: Counter::default(),
             crashes: Counter::default(),
             relays: Counter::default(),
+            rests: Counter::default(),
             lost_paths: Counter::default(),
             path_trials: Counter::default(),
             quarantines: Gauge::default(),
@@ -135,6 +137,11 @@
             "Runs whose endpoint seems to have crashed on them",
             metrics.crashes.clone(),
         );
+        registry.register(
+            "rests",
+            "Refusals that asked for a rest",
+            metrics.rests.clone(),
+        );
         registry.register(
             "relays",
             "Attempts to send a request through a peer",
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -228,6 +228,14 @@
         return;
     }
     core.clear_unreachable(id);
+    let was_restarted = match (&old, record) {
+        (Some(old), Some(record)) => old.incarnation != record.incarnation,
+        // An entry may be missing for a while although its endpoint lives.
+        _ => false,
+    };
+    if was_restarted {
+        core.avoided().clear_resting(id);
+    }
     core.log.write(
         LogKind::Endpoint,
         json!({
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -47,6 +47,8 @@
     NoSlotInTime,
     /// Every endpoint limits its rate, and this router's shares are used up for too long.
     RateLimited,
+    /// Every endpoint wants a rest from this router; the first rest ends then.
+    Resting(Instant),
 }
 
 /// A target with a reserved slot; dropping it releases the slot.
@@ -80,6 +82,11 @@
         {
             return Err(ReserveError::AllTried);
         }
+        if let Some(rest_end) = Self::first_rest_end(core, query, targets)
+            && rest_end > query.queue_deadline
+        {
+            return Err(ReserveError::Resting(rest_end));
+        }
         // Each target is expected to free at most one slot within the maximum wait.
         if !query.is_resumed && ahead > serving {
             return Err(ReserveError::QueueFull);
@@ -111,6 +118,25 @@
         }
     }
 
+    /// Returns when the first rest ends if all targets that the request may be sent to want one.
+    fn first_rest_end(
+        core: &GatewayCore,
+        query: &TargetQuery,
+        targets: &[ServingTarget],
+    ) -> Option<Instant> {
+        let now = Instant::now();
+        let avoided = core.avoided();
+        let mut first = None;
+        for target in targets {
+            if query.tried.contains(&target.endpoint) {
+                continue;
+            }
+            let rest_end = avoided.rest_end(target, now)?;
+            first = Some(first.map_or(rest_end, |first: Instant| first.min(rest_end)));
+        }
+        first
+    }
+
     /// Returns when this router's share of the rate of some target allows the next request, or
     /// when a cold one is warm; `None` if it has no share of any.
     fn next_room_at(
--- a/gateway/src/rest_watch.rs
+++ b/gateway/src/rest_watch.rs
@@ -1,7 +1,11 @@
 //! Follows what endpoints say in their responses of the requests of this router: that they want a
 //! rest, or that they shut down.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::Milliseconds;
 use jujuberoad_node::backends::ResponseHead;
 use jujuberoad_node::backends::StatedRest;
 use jujuberoad_node::runtime::LogKind;
@@ -9,6 +13,9 @@
 
 use crate::gateway_core::GatewayCore;
 
+/// Longest rest that an endpoint gets. A faulty value must not take it out of use for good.
+const MAX_REST: Duration = Duration::from_secs(600);
+
 /// Records what a response of `endpoint` says of further requests.
 pub(crate) fn observe_response(core: &GatewayCore, endpoint: &EndpointId, head: &ResponseHead) {
     let rest_ms = match head.rest {
@@ -22,7 +29,8 @@
             None
         }
     };
-    if rest_ms.is_some() || head.is_leaving {
+    let is_new = rest_ms.is_some_and(|rest_ms| mark_resting(core, endpoint, rest_ms));
+    if is_new || head.is_leaving {
         core.log.write(
             LogKind::Rest,
             json!({
@@ -34,3 +42,15 @@
         );
     }
 }
+
+/// Sends nothing to an endpoint for the rest that it asks for; returns whether the rest is a new
+/// one.
+fn mark_resting(core: &GatewayCore, endpoint: &EndpointId, rest_ms: Milliseconds) -> bool {
+    let now = Instant::now();
+    let rest = Duration::from_millis(rest_ms).min(MAX_REST);
+    if rest.is_zero() {
+        return false;
+    }
+    core.metrics.rests.inc();
+    core.avoided().mark_resting(endpoint, now, now + rest)
+}
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -134,7 +134,7 @@
             let reserved = match ReservedTarget::reserve(&self.core, &self.query).await {
                 Ok(reserved) => reserved,
                 Err(_)
-                    if self.core.avoids_most(&self.query.pool)
+                    if self.core.misses_most(&self.query.pool)
                         && let Some(end) = self.relay(after).await =>
                 {
                     return end;
--- a/lib/src/fleet/avoid_list.rs
+++ b/lib/src/fleet/avoid_list.rs
@@ -20,6 +20,8 @@
     unreachable: HashMap<EndpointId, SilenceRecord>,
     slow: HashMap<EndpointId, Instant>,
     groups: HashMap<GroupKey, Instant>,
+    /// Endpoints that want no requests of this router, until the end of their rest.
+    resting: HashMap<EndpointId, Instant>,
 }
 
 impl AvoidList {
@@ -95,6 +97,27 @@
         self.groups.insert(group.clone(), until);
     }
 
+    /// Excludes an endpoint that wants a rest, of which it has asked for others perhaps. Returns
+    /// whether its rest is a new one.
+    pub fn mark_resting(&mut self, endpoint: &EndpointId, now: Instant, until: Instant) -> bool {
+        self.resting.retain(|_, until| now < *until);
+        let is_new = !self.resting.contains_key(endpoint);
+        let known = self.resting.entry(endpoint.clone()).or_insert(until);
+        *known = until.max(*known);
+        is_new
+    }
+
+    /// Ends the rest of an endpoint that has started again.
+    pub fn clear_resting(&mut self, endpoint: &EndpointId) {
+        self.resting.remove(endpoint);
+    }
+
+    /// Returns when the rest of a target ends, if it wants one.
+    pub fn rest_end(&self, target: &ServingTarget, now: Instant) -> Option<Instant> {
+        let until = self.resting.get(&target.endpoint).copied();
+        until.filter(|until| now < *until)
+    }
+
     /// Returns the endpoints that are excluded as unresponsive or slow.
     pub fn endpoints(&mut self, now: Instant) -> BTreeSet<EndpointId> {
         let mut found = BTreeSet::new();
@@ -114,6 +137,14 @@
         is_marked(&target.endpoint)
             || target.members.iter().any(|(id, _)| is_marked(id))
             || self.is_dissolved(target, now)
+            || self.rest_end(target, now).is_some()
+    }
+
+    /// Returns whether a target is excluded because it or a member does not respond.
+    pub fn is_out_of_reach(&self, target: &ServingTarget, now: Instant) -> bool {
+        let mut members = target.members.iter();
+        self.is_unreachable(&target.endpoint, now)
+            || members.any(|(id, _)| self.is_unreachable(id, now))
     }
 
     /// Returns whether a target cannot serve at all: a member does not respond, or its
