fleet, gateway: endpoints that say they leave get no new requests

What callers would see: requests at an endpoint that has said for two seconds that it shuts down, and that ends while it answers them. Cause: Server-Leaving was dropped; only the registry told of leaving endpoints, which may come late, and not at all while the store is away. Ruled out: the registry's watch, whose bound is kept. Change: an answer with it makes the endpoint draining in EndpointTable until it starts again; entries that are older do not undo that. A peer names the endpoint of a relayed answer, so that the router that passes it on is bound, too. Why it works: targets are built from that state, as for drains of the registry.

--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -9,6 +9,7 @@
 use hyper::Uri;
 use hyper::Version;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderValue;
 use jujuberoad_node::backends::CallError;
 use jujuberoad_node::backends::CallStep;
 use jujuberoad_node::backends::EndpointHead;
@@ -19,6 +20,7 @@
 use crate::caller_request::CallerRequest;
 use crate::gateway_core::GatewayCore;
 use crate::limit_watch;
+use crate::relay_call::ENDPOINT_HEADER;
 use crate::reserved_target::ReservedTarget;
 use crate::rest_watch;
 
@@ -70,6 +72,11 @@
         limit_watch::observe_response(core, &reserved.target.endpoint, &head, sent_at);
     }
     remove_connection_headers(response.headers_mut());
+    if request.relay_head.is_some()
+        && let Ok(endpoint) = HeaderValue::from_str(&reserved.target.endpoint)
+    {
+        response.headers_mut().insert(ENDPOINT_HEADER, endpoint);
+    }
     // Each hop has a version of its own. In that of an old endpoint, a stream would have no
     // chunks, and the caller could not tell a broken one from a whole one.
     *response.version_mut() = Version::HTTP_11;
--- a/gateway/src/fleet_cache.rs
+++ b/gateway/src/fleet_cache.rs
@@ -139,6 +139,17 @@
         has_changed
     }
 
+    /// Records that an endpoint has said in a response that it leaves; returns whether that is
+    /// new.
+    pub(crate) fn mark_leaving(&self, id: &EndpointId) -> bool {
+        let mut state = self.state.lock().expect("fleet cache lock");
+        let is_new = state.table.mark_leaving(id);
+        if is_new {
+            state.rebuild_targets();
+        }
+        is_new
+    }
+
     /// Applies a report that a peer read from a newer version of the registry.
     pub(crate) fn apply_peer_report(&self, id: &EndpointId, report: EngineReport) {
         let mut state = self.state.lock().expect("fleet cache lock");
--- a/gateway/src/relay_call.rs
+++ b/gateway/src/relay_call.rs
@@ -24,6 +24,7 @@
 
 use crate::caller_request::CallerRequest;
 use crate::gateway_core::GatewayCore;
+use crate::rest_watch;
 
 /// Header of a relayed request, which holds its [`RelayHead`], and of the response of a router
 /// that could not take it.
@@ -31,6 +32,8 @@
 /// Value of [`RELAY_HEADER`] in a response: the request was not executed and another router may
 /// be able to take it.
 pub(crate) const RELAY_UNABLE: &str = "unable";
+/// Header of the response to a relayed request: the endpoint that it comes from.
+pub(crate) const ENDPOINT_HEADER: &str = "jujube-endpoint";
 /// Maximum number of peers that are asked for one attempt.
 const MAX_PEERS: usize = 3;
 
@@ -179,6 +182,13 @@
         let message = "relayed response has no endpoint signature";
         return Err(CallError::sent(CallStep::Decode, address, message));
     }
+    // This router passes the response on, so it must not send to that endpoint later either.
+    let endpoint = response.headers_mut().remove(ENDPOINT_HEADER);
+    if answered.is_leaving
+        && let Some(endpoint) = endpoint.as_ref().and_then(|value| value.to_str().ok())
+    {
+        rest_watch::observe_leaving(core, &endpoint.into());
+    }
     remove_connection_headers(response.headers_mut());
     *response.version_mut() = Version::HTTP_11;
     Ok(response)
--- a/gateway/src/rest_watch.rs
+++ b/gateway/src/rest_watch.rs
@@ -29,16 +29,23 @@
             None
         }
     };
-    let is_new = rest_ms.is_some_and(|rest_ms| mark_resting(core, endpoint, rest_ms));
-    if is_new || head.is_leaving {
+    if rest_ms.is_some_and(|rest_ms| mark_resting(core, endpoint, rest_ms)) {
         core.log.write(
             LogKind::Rest,
-            json!({
-                "endpoint": endpoint,
-                "request": head.request_id,
-                "rest_ms": rest_ms,
-                "leaving": head.is_leaving,
-            }),
+            json!({"endpoint": endpoint, "request": head.request_id, "rest_ms": rest_ms}),
+        );
+    }
+    if head.is_leaving {
+        observe_leaving(core, endpoint);
+    }
+}
+
+/// Records that an endpoint has said in a response that it leaves.
+pub(crate) fn observe_leaving(core: &GatewayCore, endpoint: &EndpointId) {
+    if core.fleet.mark_leaving(endpoint) {
+        core.log.write(
+            LogKind::Endpoint,
+            json!({"endpoint": endpoint, "state": "draining", "by": "its response"}),
         );
     }
 }
--- a/lib/src/fleet/endpoint_table.rs
+++ b/lib/src/fleet/endpoint_table.rs
@@ -10,7 +10,7 @@
 use crate::ids::EndpointId;
 use crate::ids::Incarnation;
 
-/// Number of endpoints that have left and are remembered. A copy of the registry is some
+/// Number of endpoints that have left, or have said so, and are remembered. A copy of the registry is some
 /// seconds old, and a few dozen endpoints leave in that time.
 const MAX_DEPARTED: usize = 1_024;
 
@@ -28,6 +28,8 @@
     departed: VecDeque<DepartedEntry>,
     /// Time until which entries of running endpoints may be missing.
     settles_at: Option<Instant>,
+    /// Endpoints that have said in a response that they leave, oldest first.
+    leaving: VecDeque<(EndpointId, Incarnation)>,
 }
 
 /// The last entry of an endpoint that has left.
@@ -55,9 +57,32 @@
             record.staged = old.staged.clone();
             record.has_newer_report = true;
         }
+        // The entry may be older than the response.
+        let mut leaving = self.leaving.iter();
+        if leaving.any(|(id, incarnation)| *id == record.id && *incarnation == record.incarnation) {
+            record.state = EndpointState::Draining;
+        }
         self.records.insert(record.id.clone(), record);
     }
 
+    /// Records that an endpoint has said in a response that it leaves. It stays so until it
+    /// starts again, whatever its entry says. Returns whether that is new.
+    pub fn mark_leaving(&mut self, id: &str) -> bool {
+        let Some(record) = self.records.get_mut(id) else {
+            return false;
+        };
+        let was_ready = record.state == EndpointState::Ready;
+        record.state = EndpointState::Draining;
+        let left = (record.id.clone(), record.incarnation);
+        if !self.leaving.contains(&left) {
+            if self.leaving.len() >= MAX_DEPARTED {
+                self.leaving.pop_front();
+            }
+            self.leaving.push_back(left);
+        }
+        was_ready
+    }
+
     /// Removes an endpoint, immediately or at `keep_until`.
     pub fn remove(&mut self, id: &str, keep_until: Option<Instant>) {
         match keep_until {
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -50,7 +50,7 @@
     Crash,
     /// A part of a prompt began or ceased to be refused.
     Quarantine,
-    /// An endpoint asked this router for a rest, or said that it shuts down.
+    /// An endpoint asked this router for a rest.
     Rest,
     /// An endpoint named a limit on the rate of its requests, changed it or named none again.
     Limit,
