gateway: a rest counts only from the answer to the router's own request

Cause: an endpoint that writes an earlier refusal once more would start a rest anew that it has asked for long ago, so its slots stayed unused. Ruled out: leaving, which an endpoint never takes back; it counts from any answer. Change: rests are read after the answer is known to be one to this request.

--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -52,8 +52,8 @@
         .read_response_head(response.status(), response.headers());
     // A misdirected request was answered by another endpoint.
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    if !is_misdirected {
-        rest_watch::observe_response(core, &reserved.target.endpoint, &head);
+    if !is_misdirected && head.is_leaving {
+        rest_watch::observe_leaving(core, &reserved.target.endpoint);
     }
     // Endpoints name the request in every response. One that names none may be a late copy of
     // the response to an earlier request on the same connection.
@@ -69,6 +69,7 @@
         return Err(CallError::sent(CallStep::Decode, address, message));
     }
     if !is_misdirected {
+        rest_watch::observe_rest(core, &reserved.target.endpoint, &head);
         limit_watch::observe_response(core, &reserved.target.endpoint, &head, sent_at);
     }
     remove_connection_headers(response.headers_mut());
--- a/gateway/src/rest_watch.rs
+++ b/gateway/src/rest_watch.rs
@@ -16,8 +16,8 @@
 /// Longest rest that an endpoint gets. A faulty value must not take it out of use for good.
 const MAX_REST: Duration = Duration::from_secs(600);
 
-/// Records what a response of `endpoint` says of further requests.
-pub(crate) fn observe_response(core: &GatewayCore, endpoint: &EndpointId, head: &ResponseHead) {
+/// Records the rest that a response of `endpoint` to a request of this router asks for.
+pub(crate) fn observe_rest(core: &GatewayCore, endpoint: &EndpointId, head: &ResponseHead) {
     let rest_ms = match head.rest {
         StatedRest::None => None,
         StatedRest::For(rest_ms) => Some(rest_ms),
@@ -35,9 +35,6 @@
             json!({"endpoint": endpoint, "request": head.request_id, "rest_ms": rest_ms}),
         );
     }
-    if head.is_leaving {
-        observe_leaving(core, endpoint);
-    }
 }
 
 /// Records that an endpoint has said in a response that it leaves.
