gateway: only events with ids continue a stream

What callers saw, by the users' report on other systems: the text of an error in the middle of a stream that had broken off, or a stream that ended as complete. Cause: a resumed run was taken for the rest of the stream whatever its answer was, as long as its status was 200: plain text and events without an id were passed on, and its end counted as the end of the stream. The class: answers are judged by their status alone. Change: what continues a stream must be an event stream, and its events must have ids; comments may come. Anything else ends the run, and the stream breaks off or goes on elsewhere.

--- a/gateway/src/event_source.rs
+++ b/gateway/src/event_source.rs
@@ -29,6 +29,10 @@
 pub(crate) struct EventSource {
     body: PooledBody,
     splitter: EventSplitter,
+    /// Whether each further event must have an id, because those before have one.
+    needs_ids: bool,
+    /// Whether an event without an id has come nevertheless.
+    is_foreign: bool,
 }
 
 impl EventSource {
@@ -36,6 +40,17 @@
         Self {
             body,
             splitter: EventSplitter::default(),
+            needs_ids: false,
+            is_foreign: false,
+        }
+    }
+
+    /// Reads the body of a run that continues a stream whose events have ids. Text of another
+    /// kind, such as an error, would stand in the middle of that stream.
+    pub(crate) fn new_continuation(body: PooledBody) -> Self {
+        Self {
+            needs_ids: true,
+            ..Self::new(body)
         }
     }
 
@@ -43,12 +58,22 @@
     pub(crate) async fn next(&mut self) -> SourceItem {
         loop {
             let mut events = Vec::new();
-            while let Some(event) = self.splitter.next_event() {
+            while !self.is_foreign
+                && let Some(event) = self.splitter.next_event()
+            {
+                if event.id.is_none() && self.needs_ids && !event.is_comment() {
+                    self.is_foreign = true;
+                    break;
+                }
+                self.needs_ids |= event.id.is_some();
                 events.push(event);
             }
             if !events.is_empty() {
                 return SourceItem::Events(events);
             }
+            if self.is_foreign {
+                return SourceItem::Lost("an event has no id".to_owned());
+            }
             if self.splitter.is_oversized() {
                 return SourceItem::Lost("an event does not end".to_owned());
             }
--- a/gateway/src/stream_attempt.rs
+++ b/gateway/src/stream_attempt.rs
@@ -7,6 +7,8 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use jujuberoad::routing::WholeEvent;
 use jujuberoad_node::backends::CallError;
@@ -59,6 +61,8 @@
     pub(crate) core: Arc<GatewayCore>,
     pub(crate) request: Arc<CallerRequest>,
     pub(crate) after: Option<u64>,
+    /// Whether the caller has received the head of the stream already.
+    pub(crate) is_continuation: bool,
     pub(crate) count: Arc<RunCount>,
 }
 
@@ -111,9 +115,18 @@
             return self.read_failure(address, answer.response).await;
         }
         let (mut parts, body) = answer.response.into_parts();
+        if self.is_continuation && !is_event_stream(&parts.headers) {
+            let message = format!("status {status} without a stream");
+            let error = CallError::sent(CallStep::Decode, address, message);
+            return AttemptEnd::MayHaveRun(error);
+        }
         // The length of a resumed stream differs from that of its first response.
         parts.headers.remove(CONTENT_LENGTH);
-        let mut source = EventSource::new(body);
+        let mut source = if self.is_continuation {
+            EventSource::new_continuation(body)
+        } else {
+            EventSource::new(body)
+        };
         let lost = |reason: String| {
             AttemptEnd::MayHaveRun(CallError::sent(CallStep::Read, address, reason))
         };
@@ -157,3 +170,11 @@
         }
     }
 }
+
+/// Returns whether a response with these headers is a stream of events.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE);
+    let kind = kind.and_then(|kind| kind.to_str().ok()).unwrap_or_default();
+    let kind = kind.split(';').next().unwrap_or_default();
+    kind.trim().eq_ignore_ascii_case("text/event-stream")
+}
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -41,6 +41,7 @@
 use crate::stream_attempt::MAX_FAILURE_BYTES;
 use crate::stream_attempt::OpenStream;
 use crate::stream_attempt::StreamAttempt;
+use crate::stream_attempt::is_event_stream;
 use crate::stream_end::OpenEnd;
 use crate::stream_end::WaitEnd;
 use crate::stream_guard::StreamGuard;
@@ -67,6 +68,8 @@
     /// When the stream may next be moved away from a silent endpoint.
     next_takeover_at: Instant,
     pub(crate) waited_ms: u64,
+    /// Whether the caller has received the head of the stream.
+    pub(crate) has_begun: bool,
 }
 
 /// Which of two runs goes on after the first one fell silent.
@@ -99,6 +102,7 @@
             query,
             next_takeover_at: Instant::now(),
             waited_ms: 0,
+            has_begun: false,
         };
         if earlier_runs > 0 {
             call.expedite();
@@ -233,8 +237,16 @@
             };
         }
         let (mut parts, body) = response.into_parts();
+        if self.has_begun && !is_event_stream(&parts.headers) {
+            let error = CallError::sent(CallStep::Decode, address, "a response without a stream");
+            return OpenEnd::Refused(self.request.unknown_reply(&error));
+        }
         parts.headers.remove(CONTENT_LENGTH);
-        let mut source = EventSource::new(body);
+        let mut source = if self.has_begun {
+            EventSource::new_continuation(body)
+        } else {
+            EventSource::new(body)
+        };
         let first = match timeout_at(deadline, source.next()).await {
             Some(SourceItem::Events(events)) => Some(events),
             Some(SourceItem::Ended) => None,
@@ -320,6 +332,7 @@
             core: Arc::clone(&self.core),
             request: Arc::clone(&self.request),
             after,
+            is_continuation: self.has_begun,
             count: Arc::clone(&self.count),
         };
         let mut attempt = pin!(attempt.run(guard));
--- a/gateway/src/stream_relay.rs
+++ b/gateway/src/stream_relay.rs
@@ -49,13 +49,14 @@
 
 impl StreamRelay {
     /// Returns the response to the caller, with the response head of the first endpoint.
-    pub(crate) fn respond(call: StreamCall, run: OpenStream) -> Response<ReplyBody> {
+    pub(crate) fn respond(mut call: StreamCall, run: OpenStream) -> Response<ReplyBody> {
         let OpenStream {
             guard,
             parts,
             source,
             first,
         } = run;
+        call.has_begun = true;
         let first_ms = call.request.age_ms();
         call.core.metrics.first_event_ms.observe(first_ms as f64);
         let relay = Self {
--- a/lib/src/routing/event_splitter.rs
+++ b/lib/src/routing/event_splitter.rs
@@ -15,6 +15,14 @@
     pub bytes: Bytes,
 }
 
+impl WholeEvent {
+    /// Returns whether it holds comments only, which keep a connection alive.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+    }
+}
+
 /// Buffers the bytes of an event until its end has arrived, so that a partial
 /// event is never forwarded.
 #[derive(Clone, Debug, Default)]
