gateway: streams that come through peers are opened in a file of their own

Cause: stream_call.rs had grown by a hundred lines that only relays use. Ruled out: any change of behaviour; the function is moved, its fields became arguments. Measured: tests of lost paths and of the operators' reports pass.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod relay_api;
 mod relay_call;
 mod relay_guard;
+mod relay_stream;
 mod report_poll;
 mod request_body;
 mod reserved_target;
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -10,38 +10,28 @@
 use futures_lite::FutureExt;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header::CONTENT_LENGTH;
 use jujuberoad::ids::EndpointId;
 use jujuberoad_node::backends::CallError;
-use jujuberoad_node::backends::CallStep;
 use jujuberoad_node::http::ReplyBody;
-use jujuberoad_node::http::full_body;
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 
-use crate::bounded_body::read_whole;
 use crate::buffered_call::record_local_end;
-use crate::call_deadline::timeout_at;
 use crate::caller_request::CallerRequest;
 use crate::endpoint_guard::EndpointGuard;
-use crate::event_source::EventSource;
-use crate::event_source::SourceItem;
 use crate::gateway_core::GatewayCore;
 use crate::local_reply::LocalReply;
 use crate::relay_call;
 use crate::relay_call::RelayEnd;
-use crate::relay_call::RelayedResponse;
-use crate::relay_guard::RelayGuard;
+use crate::relay_stream;
 use crate::reserved_target::ReservedTarget;
 use crate::reserved_target::TargetQuery;
 use crate::run_count::RunCount;
 use crate::silence_watch::SilenceWatch;
 use crate::silence_watch::Wakeup;
 use crate::stream_attempt::AttemptEnd;
-use crate::stream_attempt::MAX_FAILURE_BYTES;
 use crate::stream_attempt::OpenStream;
 use crate::stream_attempt::StreamAttempt;
-use crate::stream_attempt::is_event_stream;
 use crate::stream_end::OpenEnd;
 use crate::stream_end::WaitEnd;
 use crate::stream_guard::StreamGuard;
@@ -214,57 +204,10 @@
                 None
             }
             RelayEnd::Lost(error) => Some(OpenEnd::Refused(self.request.unknown_reply(&error))),
-            RelayEnd::Answered(relayed) => Some(self.open_relayed(*relayed).await),
-        }
-    }
-
-    /// Waits for the first event of a stream that comes through a peer.
-    async fn open_relayed(&self, relayed: RelayedResponse) -> OpenEnd {
-        let RelayedResponse {
-            address,
-            response,
-            permit,
-        } = relayed;
-        let deadline = self.request.deadline;
-        if !response.status().is_success() {
-            let (parts, body) = response.into_parts();
-            return match read_whole(body, MAX_FAILURE_BYTES, address, deadline).await {
-                Ok(body) => {
-                    let response = Response::from_parts(parts, full_body(body));
-                    OpenEnd::Failure(Box::new(response))
-                }
-                Err(error) => OpenEnd::Refused(self.request.unknown_reply(&error)),
-            };
-        }
-        let (mut parts, body) = response.into_parts();
-        if self.has_begun && !is_event_stream(&parts.headers) {
-            let error = CallError::sent(CallStep::Decode, address, "a response without a stream");
-            return OpenEnd::Refused(self.request.unknown_reply(&error));
-        }
-        parts.headers.remove(CONTENT_LENGTH);
-        let mut source = if self.has_begun {
-            EventSource::new_continuation(body)
-        } else {
-            EventSource::new(body)
-        };
-        let first = match timeout_at(deadline, source.next()).await {
-            Some(SourceItem::Events(events)) => Some(events),
-            Some(SourceItem::Ended) => None,
-            Some(SourceItem::Lost(reason)) => {
-                let error = CallError::sent(CallStep::Read, address, reason);
-                return OpenEnd::Refused(self.request.unknown_reply(&error));
-            }
-            Some(SourceItem::Expired) | None => {
-                let error = CallError::sent(CallStep::Read, address, "deadline passed");
-                return OpenEnd::Refused(self.request.unknown_reply(&error));
+            RelayEnd::Answered(relayed) => {
+                Some(relay_stream::open(&self.request, *relayed, self.has_begun).await)
             }
-        };
-        OpenEnd::Open(Box::new(OpenStream {
-            guard: Box::new(RelayGuard::new(permit)),
-            parts,
-            source,
-            first,
-        }))
+        }
     }
 
     /// Prepares the next attempt after one that was not executed; returns the reply if there
