gateway: a probe that is accepted and not answered does not speak against the path

A probe of an endpoint that pauses is accepted by its VM and not answered; it counted as a lost path, trials were opened to engines that the tests count, and two silent engines made the plain service look cut off, too. Ruled out: a fault of the tests; they guard against just that confusion. Change: only connections that fail count against a path.

--- a/gateway/src/path_watch.rs
+++ b/gateway/src/path_watch.rs
@@ -8,6 +8,7 @@
 
 use jujuberoad::fleet::EndpointRecord;
 use jujuberoad::fleet::EndpointState;
+use jujuberoad::fleet::SilenceKind;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
@@ -143,15 +144,23 @@
     }
 }
 
-/// Records what a probe of an endpoint shows of the path to it.
-pub(crate) fn observe_probe(core: &GatewayCore, endpoint: &EndpointId, is_reached: bool) {
+/// Records what a probe of an endpoint shows of the path to it; `silence` is how it failed to
+/// respond, if it did.
+pub(crate) fn observe_probe(
+    core: &GatewayCore,
+    endpoint: &EndpointId,
+    silence: Option<SilenceKind>,
+) {
     let Some(record) = core.fleet.endpoint(endpoint) else {
         return;
     };
-    if is_reached {
-        core.observe_contact(&record.service, endpoint, record.address);
-    } else {
-        core.observe_failure(&record.service, endpoint);
+    match silence {
+        None => core.observe_contact(&record.service, endpoint, record.address),
+        // Its VM accepts connections, so there is a path: the endpoint pauses.
+        Some(SilenceKind::Unanswered) => {}
+        Some(SilenceKind::Refused | SilenceKind::NotAccepted) => {
+            core.observe_failure(&record.service, endpoint);
+        }
     }
 }
 
--- a/gateway/src/stall_probe.rs
+++ b/gateway/src/stall_probe.rs
@@ -137,8 +137,11 @@
     let mut found: Option<(EndpointId, MemberFault)> = None;
     while let Ok(result) = results.recv().await {
         let (id, fault) = result;
-        let is_reached = !matches!(fault, Some(MemberFault::Unresponsive { .. }));
-        path_watch::observe_probe(core, &id, is_reached);
+        let silence = match &fault {
+            Some(MemberFault::Unresponsive { kind, .. }) => Some(*kind),
+            _ => None,
+        };
+        path_watch::observe_probe(core, &id, silence);
         let Some(fault) = fault else {
             continue;
         };
