--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -33,6 +33,7 @@
 use crate::caller_request::CallerRequest;
 use crate::gateway_core::GatewayCore;
 use crate::local_reply::LocalReply;
+use crate::relay_call;
 use crate::request_body::RequestBody;
 use crate::stream_call::StreamCall;
 
@@ -149,7 +150,8 @@
             return self.refuse(reply, &request.id, request.uri.path());
         }
         // A request that goes through a peer is counted there, where it may be retried.
-        if !request.is_counted && !is_severed {
+        let is_relayed = is_severed && relay_call::has_peer(&core, &request.pool.service);
+        if !request.is_counted && !is_relayed {
             let mut retry_budget = core.retry_budget.lock().expect("retry budget lock");
             retry_budget.observe_request(Instant::now());
             request.is_counted = true;
--- a/gateway/src/relay_call.rs
+++ b/gateway/src/relay_call.rs
@@ -14,6 +14,7 @@
 use hyper::header::HeaderMap;
 use hyper::header::HeaderValue;
 use jujuberoad::ids::RouterId;
+use jujuberoad::ids::ServiceId;
 use jujuberoad::peer::RelayHead;
 use jujuberoad_node::backends::CallError;
 use jujuberoad_node::backends::CallStep;
@@ -94,7 +95,7 @@
         is_counted: request.is_counted,
     };
     for _ in 0..MAX_PEERS {
-        let Some((peer, address)) = pick_peer(core, request) else {
+        let Some((peer, address)) = pick_peer(core, &request.pool.service) else {
             return RelayEnd::NoPeer;
         };
         let permit = RelayPermit::new(core, &peer);
@@ -141,11 +142,15 @@
     RelayEnd::NoPeer
 }
 
-fn pick_peer(core: &GatewayCore, request: &CallerRequest) -> Option<(RouterId, SocketAddr)> {
+/// Returns whether some peer may take requests for `service`.
+pub(crate) fn has_peer(core: &GatewayCore, service: &ServiceId) -> bool {
+    pick_peer(core, service).is_some()
+}
+
+fn pick_peer(core: &GatewayCore, service: &ServiceId) -> Option<(RouterId, SocketAddr)> {
     let addresses = core.peer_addresses.lock().expect("peer lock");
     let relays = core.relays.lock().expect("relay lock");
     let others = addresses.keys().filter(|id| **id != core.settings.id);
-    let service = &request.pool.service;
     let peer = relays.pick(others, service, Instant::now(), fastrand::f64)?;
     let address = addresses.get(peer)?;
     Some((peer.clone(), *address))
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -190,6 +190,10 @@
         if attempts == 0 || !self.request.may_be_relayed() {
             return None;
         }
+        // No retry is taken for an attempt that cannot be made.
+        if !relay_call::has_peer(&self.core, &self.request.pool.service) {
+            return None;
+        }
         if std::mem::take(&mut self.owes_retry) && !self.core.try_take_retry() {
             let reason = "the retry budget is used up";
             let reply = self.request.retry_refusal(self.own_runs(), reason);
