--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -26,10 +26,6 @@
         found.map_or("", |(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
     }
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -5,7 +5,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -114,8 +114,8 @@
                 }
                 match std::str::from_utf8(&self.bytes[start..self.at]).ok()? {
                     "null" => Some(Json::Null),
-                    "true" => Some(Json::Bool(true)),
-                    "false" => Some(Json::Bool(false)),
+                    "true" => Some(Json::Bool),
+                    "false" => Some(Json::Bool),
                     number => number.parse().ok().map(Json::Number),
                 }
             }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,9 +3,12 @@
 mod cut_watch;
 mod http;
 mod json;
+mod late_arrivals;
 mod record;
 mod router;
+mod short_silence;
 mod store;
+mod traffic;
 mod worker;
 
 use std::process::ExitCode;
@@ -19,6 +22,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "cut-watch" => cut_watch::run(folder, has_trouble),
+        "short-silence" => short_silence::run(folder, has_trouble),
         other => Err(format!("no case {other:?}")),
     };
     match result {
--- a/review/standins/src/router.rs
+++ b/review/standins/src/router.rs
@@ -19,8 +19,7 @@
 
 pub struct Router {
     pub callers: SocketAddr,
-    pub readiness: SocketAddr,
-    pub metrics: SocketAddr,
+    readiness: SocketAddr,
     child: Child,
 }
 
@@ -53,7 +52,7 @@
             .stderr(Stdio::null())
             .spawn()
             .map_err(|error| format!("{:?}: {error}", program()))?;
-        let router = Router { callers: ports[0], readiness: ports[1], metrics: ports[2], child };
+        let router = Router { callers: ports[0], readiness: ports[1], child };
         let deadline = Instant::now() + START_TIMEOUT;
         while !router.is_ready() {
             if Instant::now() >= deadline {
@@ -69,15 +68,6 @@
         let reply = http::call(self.readiness, request, Duration::from_secs(1));
         reply.is_ok_and(|reply| reply.status() == 200)
     }
-
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
 }
 
 impl Drop for Router {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -157,7 +157,8 @@
     }
 
     /// Cuts watches of a prefix that have waited for a time from now on.
-    pub fn limit_watches(&self, limit: Option<(String, Duration)>) {
+    pub fn limit_watches(&self, prefix: &str, life: Duration) {
+        let limit = Some((prefix.to_owned(), life));
         self.state.lock().expect("store lock").watch_limit = limit;
     }
 
@@ -167,12 +168,6 @@
         (state.cuts, state.lost_calls)
     }
 
-    /// Returns the keys below a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.state.lock().expect("store lock");
-        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
