--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod http;
 mod json;
 mod late_arrivals;
+mod lost_answers;
 mod record;
 mod router;
 mod short_silence;
@@ -22,6 +23,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "cut-watch" => cut_watch::run(folder, has_trouble),
+        "lost-answers" => lost_answers::run(folder, has_trouble),
         "short-silence" => short_silence::run(folder, has_trouble),
         other => Err(format!("no case {other:?}")),
     };
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -40,6 +40,9 @@
     leases: BTreeMap<u64, (u64, Instant)>,
     next_lease: u64,
     is_silent: bool,
+    /// Share of answers that are lost.
+    loss_share: f64,
+    random: u64,
     /// Watches of this prefix are cut when they have waited for this long.
     watch_limit: Option<(String, Duration)>,
     cuts: usize,
@@ -71,6 +74,15 @@
         }
     }
 
+    /// Returns whether the next answer is lost.
+    fn loses_next(&mut self) -> bool {
+        // A linear congruential generator with a fixed seed.
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let is_lost = ((self.random >> 33) as f64) < self.loss_share * (1_u64 << 31) as f64;
+        self.lost_calls += usize::from(is_lost);
+        is_lost
+    }
+
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
         let keys: Vec<String> = self
@@ -156,6 +168,11 @@
         self.state.lock().expect("store lock").is_silent = is_silent;
     }
 
+    /// Loses a share of all answers from now on.
+    pub fn lose_answers(&self, share: f64) {
+        self.state.lock().expect("store lock").loss_share = share;
+    }
+
     /// Cuts watches of a prefix that have waited for a time from now on.
     pub fn limit_watches(&self, prefix: &str, life: Duration) {
         let limit = Some((prefix.to_owned(), life));
@@ -185,6 +202,10 @@
                 return;
             };
             thread::sleep(ANSWER_TIME);
+            if self.state.lock().expect("store lock").loses_next() {
+                while http::read(&mut reader).is_ok() {}
+                return;
+            }
             let headers = "Content-Type: application/json\r\n";
             if http::respond(&mut writer, status, headers, &body).is_err() {
                 return;
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -19,6 +19,7 @@
     pub id: String,
     pub worker: String,
     pub at: Instant,
+    pub tenant: String,
 }
 
 #[derive(Default)]
@@ -107,6 +108,7 @@
                     id,
                     worker: self.id.clone(),
                     at: Instant::now(),
+                    tenant: request.header("x-jujuberoad-tenant").to_owned(),
                 });
                 thread::sleep(self.work_time);
                 let headers = format!("{echo}X-Jujuberoad-Server-Seal: {}\r\n", self.id);
