--- a/review/standins/src/cut_watch.rs
+++ b/review/standins/src/cut_watch.rs
@@ -38,7 +38,10 @@
     let mut start_worker = || {
         let worker = Worker::start(&format!("i-{number:02}"), WORK_TIME, &runs);
         number += 1;
-        store.put(&format!("servers/{}", worker.id), &worker.entry("ledger", "ready", 1));
+        store.put(
+            &format!("servers/{}", worker.id),
+            &worker.entry("ledger", "ready", 1),
+        );
         worker
     };
     let mut workers: Vec<Worker> = (0..WORKERS).map(|_| start_worker()).collect();
@@ -63,7 +66,10 @@
         thread::sleep(Duration::from_millis(300 + spread));
         let old = workers.remove(0);
         let removed_at = store.delete(&format!("servers/{}", old.id));
-        record.note(removed_at, format!("entry of {} removed: acknowledged by the store", old.id));
+        record.note(
+            removed_at,
+            format!("entry of {} removed: acknowledged by the store", old.id),
+        );
         left_at.insert(old.id.clone(), removed_at);
         thread::spawn(move || {
             thread::sleep(SERVING_TIME);
@@ -74,6 +80,9 @@
     let ends = traffic.end()?;
     let runs = runs.lock().expect("run lock");
     let (late, verdict) = late_arrivals::find(&mut record, &runs, &left_at, ends);
-    record.write(folder, &format!("watches cut: {}; {verdict}", store.faults().0))?;
+    record.write(
+        folder,
+        &format!("watches cut: {}; {verdict}", store.faults().0),
+    )?;
     Ok(late == 0)
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -59,10 +59,15 @@
             break;
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         loop {
             let mut line = String::new();
             read_line(reader, &mut line)?;
@@ -110,6 +115,8 @@
         .map_err(|error| format!("connect: {error}"))?;
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(timeout));
-    stream.write_all(request.as_bytes()).map_err(|error| format!("write: {error}"))?;
+    stream
+        .write_all(request.as_bytes())
+        .map_err(|error| format!("write: {error}"))?;
     read(&mut BufReader::new(stream)).map_err(|error| format!("read: {error}"))
 }
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value()
     }
 
@@ -109,7 +112,11 @@
             b'"' => self.string().map(Json::Text),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| !b",]} \n\r\t".contains(byte)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|byte| !b",]} \n\r\t".contains(byte))
+                {
                     self.at += 1;
                 }
                 match std::str::from_utf8(&self.bytes[start..self.at]).ok()? {
--- a/review/standins/src/late_arrivals.rs
+++ b/review/standins/src/late_arrivals.rs
@@ -24,7 +24,11 @@
         let Some(left_at) = left_at.get(&run.worker) else {
             continue;
         };
-        let Some(age) = run.at.checked_duration_since(*left_at).filter(|age| *age > DRAIN) else {
+        let Some(age) = run
+            .at
+            .checked_duration_since(*left_at)
+            .filter(|age| *age > DRAIN)
+        else {
             continue;
         };
         late += 1;
@@ -35,7 +39,9 @@
         let (id, worker, age) = (&run.id, &run.worker, age.as_millis());
         record.note(
             run.at,
-            format!("DRAIN: {id} reaches {worker} {age} ms after that; the client gets {end}{note}"),
+            format!(
+                "DRAIN: {id} reaches {worker} {age} ms after that; the client gets {end}{note}"
+            ),
         );
     }
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/review/standins/src/lost_answers.rs
+++ b/review/standins/src/lost_answers.rs
@@ -31,7 +31,11 @@
 const ROUTERS: usize = 5;
 
 fn config(version: u32, has_second_key: bool) -> String {
-    let keys = if has_second_key { r#"["key-two"]"# } else { "[]" };
+    let keys = if has_second_key {
+        r#"["key-two"]"#
+    } else {
+        "[]"
+    };
     let mut routes = String::new();
     for number in 0..version {
         routes.push_str(&format!(
@@ -58,11 +62,18 @@
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     for number in 0..3 {
         let worker = Worker::start(&format!("i-{number}"), Duration::from_millis(30), &runs);
-        store.put(&format!("servers/{}", worker.id), &worker.entry("ledger", "ready", 1));
+        store.put(
+            &format!("servers/{}", worker.id),
+            &worker.entry("ledger", "ready", 1),
+        );
     }
     let mut routers = Vec::new();
     for number in 1..=ROUTERS {
-        routers.push(Router::start(&format!("r{number}"), store.address, &work.0)?);
+        routers.push(Router::start(
+            &format!("r{number}"),
+            store.address,
+            &work.0,
+        )?);
     }
     thread::sleep(Duration::from_secs(4));
     let began_at = Instant::now();
@@ -75,12 +86,21 @@
     while began_at.elapsed() < LOSS_TIME {
         version += 1;
         let at = store.put("op/config", &config(version, true));
-        record.note(at, format!("version {version}, one route more: acknowledged by the store"));
+        record.note(
+            at,
+            format!("version {version}, one route more: acknowledged by the store"),
+        );
         thread::sleep(CONFIG_GAP);
     }
     store.lose_answers(0.0);
     let answers_at = Instant::now();
-    record.note(answers_at, format!("the store loses no more answers; lost: {}", store.faults().1));
+    record.note(
+        answers_at,
+        format!(
+            "the store loses no more answers; lost: {}",
+            store.faults().1
+        ),
+    );
     thread::sleep(CALM);
     version += 1;
     let revoked_at = store.put("op/config", &config(version, false));
@@ -110,7 +130,9 @@
         let Some((router, sent_at)) = sent_at.get(&run.id) else {
             continue;
         };
-        let Some(age) = sent_at.checked_duration_since(revoked_at).filter(|age| *age > APPLY_TIME)
+        let Some(age) = sent_at
+            .checked_duration_since(revoked_at)
+            .filter(|age| *age > APPLY_TIME)
         else {
             continue;
         };
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -13,7 +13,10 @@
 
 impl Record {
     pub fn new(started_at: Instant) -> Record {
-        Record { started_at, lines: Vec::new() }
+        Record {
+            started_at,
+            lines: Vec::new(),
+        }
     }
 
     /// Returns the seconds from the start until `at`.
--- a/review/standins/src/router.rs
+++ b/review/standins/src/router.rs
@@ -29,8 +29,10 @@
         let tcp: Vec<TcpListener> = (0..4)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
             .collect();
-        let ports: Vec<SocketAddr> =
-            tcp.iter().map(|listener| listener.local_addr().expect("its address")).collect();
+        let ports: Vec<SocketAddr> = tcp
+            .iter()
+            .map(|listener| listener.local_addr().expect("its address"))
+            .collect();
         // The address for peers is used over TCP and UDP.
         let udp = UdpSocket::bind(ports[3]).map_err(|error| format!("peer port: {error}"))?;
         drop((tcp, udp));
@@ -52,7 +54,11 @@
             .stderr(Stdio::null())
             .spawn()
             .map_err(|error| format!("{:?}: {error}", program()))?;
-        let router = Router { callers: ports[0], readiness: ports[1], child };
+        let router = Router {
+            callers: ports[0],
+            readiness: ports[1],
+            child,
+        };
         let deadline = Instant::now() + START_TIMEOUT;
         while !router.is_ready() {
             if Instant::now() >= deadline {
--- a/review/standins/src/short_silence.rs
+++ b/review/standins/src/short_silence.rs
@@ -37,7 +37,10 @@
     let mut start_worker = || {
         let worker = Worker::start(&format!("i-{number:02}"), WORK_TIME, &runs);
         number += 1;
-        store.put(&format!("servers/{}", worker.id), &worker.entry("ledger", "ready", 1));
+        store.put(
+            &format!("servers/{}", worker.id),
+            &worker.entry("ledger", "ready", 1),
+        );
         worker
     };
     let mut workers: Vec<Worker> = (0..WORKERS).map(|_| start_worker()).collect();
@@ -71,7 +74,10 @@
         let old = workers.remove(0);
         let key = format!("servers/{}", old.id);
         let drains_at = store.put(&key, &old.entry("ledger", "draining", 2));
-        record.note(drains_at, format!("{} is draining: acknowledged by the store", old.id));
+        record.note(
+            drains_at,
+            format!("{} is draining: acknowledged by the store", old.id),
+        );
         left_at.insert(old.id.clone(), drains_at);
         let store = store.clone();
         thread::spawn(move || {
@@ -85,6 +91,9 @@
     let ends = traffic.end()?;
     let runs = runs.lock().expect("run lock");
     let (late, verdict) = late_arrivals::find(&mut record, &runs, &left_at, ends);
-    record.write(folder, &format!("calls not answered: {}; {verdict}", store.faults().1))?;
+    record.write(
+        folder,
+        &format!("calls not answered: {}; {verdict}", store.faults().1),
+    )?;
     Ok(late == 0)
 }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -62,7 +62,12 @@
         self.revision += 1;
         let revision = self.revision;
         let created_at = self.items.get(key).map_or(revision, |item| item.created_at);
-        let item = Item { value, revision, created_at, lease };
+        let item = Item {
+            value,
+            revision,
+            created_at,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
         self.history.push((revision, key.to_owned(), Some(item)));
     }
@@ -77,7 +82,10 @@
     /// Returns whether the next answer is lost.
     fn loses_next(&mut self) -> bool {
         // A linear congruential generator with a fixed seed.
-        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         let is_lost = ((self.random >> 33) as f64) < self.loss_share * (1_u64 << 31) as f64;
         self.lost_calls += usize::from(is_lost);
         is_lost
@@ -111,7 +119,11 @@
 impl Store {
     pub fn start() -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let state = State { revision: 100, next_lease: 1, ..State::default() };
+        let state = State {
+            revision: 100,
+            next_lease: 1,
+            ..State::default()
+        };
         let store = Store {
             address: listener.local_addr().expect("its address"),
             state: Arc::new(Mutex::new(state)),
@@ -229,8 +241,11 @@
                     .iter()
                     .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
                     .collect();
-                let page: Vec<String> =
-                    items.iter().take(PAGE_ITEMS).map(|(key, item)| render(key, item)).collect();
+                let page: Vec<String> = items
+                    .iter()
+                    .take(PAGE_ITEMS)
+                    .map(|(key, item)| render(key, item))
+                    .collect();
                 let truncated = items.len() > PAGE_ITEMS;
                 let (page, as_of) = (page.join(","), state.revision);
                 let text =
@@ -247,7 +262,11 @@
                 ("200 OK", format!("{{\"lease\":{lease},\"ttlMs\":{ttl}}}"))
             }
             _ => {
-                let lease = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let lease = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 if path.starts_with("/-/kv-keep/") {
                     match state.leases.get_mut(&lease) {
                         Some((ttl, until)) => {
@@ -278,7 +297,10 @@
             found.extend(item.map(|item| render(&key, item)));
         }
         if !holds {
-            return ("412 Precondition Failed", format!("{{\"items\":[{}]}}", found.join(",")));
+            return (
+                "412 Precondition Failed",
+                format!("{{\"items\":[{}]}}", found.join(",")),
+            );
         }
         for put in body.get("puts").list() {
             let lease = put.get("lease").number();
@@ -320,16 +342,25 @@
             let now = Instant::now();
             if !events.is_empty() || now >= ends_at {
                 let (events, as_of) = (events.join(","), state.revision);
-                return Some(("200 OK", format!("{{\"events\":[{events}],\"asOf\":{as_of}}}")));
+                return Some((
+                    "200 OK",
+                    format!("{{\"events\":[{events}],\"asOf\":{as_of}}}"),
+                ));
             }
             let limit = state.watch_limit.clone();
-            let cut_at = limit.filter(|(cut, _)| *cut == prefix).map(|(_, life)| began_at + life);
+            let cut_at = limit
+                .filter(|(cut, _)| *cut == prefix)
+                .map(|(_, life)| began_at + life);
             if cut_at.is_some_and(|at| now >= at) {
                 state.cuts += 1;
                 return None;
             }
             let left = cut_at.map_or(ends_at, |at| at.min(ends_at)) - now;
-            state = self.changed.wait_timeout(state, left).expect("store lock").0;
+            state = self
+                .changed
+                .wait_timeout(state, left)
+                .expect("store lock")
+                .0;
         }
     }
 }
