gateway: renew watches of the configuration whose answers are lost

Cause: a watch was held open for 10 s and given up 1.5 s later. If its answer is lost, or it is sent into a short silence of the store, nothing shows that: the connection is sound and the store answers all other calls, so the router sees a store where nothing changes.

Change: a watch of the operator's keys waits at most as long as a lost answer may hide changes, the new setting `[store] settle` less the time for an answer and a full read: 1.6 s of 3 s. The caller of `watch_prefix` gives its deadline.

--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -34,6 +34,9 @@
     pub store: SocketAddr,
     /// Shortest lease TTL that the store accepts.
     pub shortest_lease_ms: Milliseconds,
+    /// Time from the end of a disturbance of the store until changes must be followed in time
+    /// again.
+    pub store_settle_ms: Milliseconds,
     /// Grace period for a shutdown.
     pub grace_ms: Milliseconds,
     /// Time after which a leaving endpoint must receive no more requests.
@@ -94,6 +97,7 @@
         let mut reader = SectionReader::new(&store, &mut problems);
         let store = reader.address("address");
         let shortest_lease_ms = reader.duration_ms("shortest_lease", 1_000);
+        let store_settle_ms = reader.duration_ms("settle", 3_000);
         reader.finish();
 
         let limits = section("limits");
@@ -119,6 +123,7 @@
             peers,
             store,
             shortest_lease_ms,
+            store_settle_ms,
             grace_ms,
             leaving_ms,
             retry_window_ms,
--- a/gateway/src/operator_sink.rs
+++ b/gateway/src/operator_sink.rs
@@ -15,6 +15,7 @@
 use smol::Timer;
 
 use crate::gateway_core::GatewayCore;
+use crate::store_watch;
 use crate::store_watch::PrefixSink;
 use crate::store_watch::ReadCause;
 
@@ -109,6 +110,10 @@
 
     fn set_unavailable(&self, _core: &GatewayCore, _is_lost: bool) {}
 
+    fn watch_wait(&self, core: &GatewayCore) -> Duration {
+        store_watch::bounded_watch_wait(Duration::from_millis(core.settings.store_settle_ms))
+    }
+
     fn watch_interval(&self, _core: &GatewayCore) -> Duration {
         Duration::ZERO
     }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -26,8 +26,15 @@
 
 use crate::gateway_core::GatewayCore;
 
-/// Time for which the store holds a watch open if nothing changes.
-const WATCH_TIMEOUT_MS: Milliseconds = 10_000;
+/// Longest time for which the store holds a watch open if nothing changes.
+pub(crate) const MAX_WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Shortest such time, so that a watch is not a poll.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(500);
+/// Time beyond the wait after which a watch fails. The store responds within milliseconds, a
+/// slow one within a few hundred.
+const WATCH_ANSWER_TIME: Duration = Duration::from_millis(900);
+/// Time for the full read that follows a failed watch.
+const REREAD_TIME: Duration = Duration::from_millis(500);
 /// Timeout for a full read; a slow store answers within a few hundred milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Consecutive failures after which a prefix counts as unavailable while other calls to
@@ -66,6 +73,12 @@
     /// Returns the delay between watches.
     fn watch_interval(&self, core: &GatewayCore) -> Duration;
 
+    /// Returns the time for which the store may hold a watch open. A watch whose answer is
+    /// lost hides changes for that long.
+    fn watch_wait(&self, _core: &GatewayCore) -> Duration {
+        MAX_WATCH_WAIT
+    }
+
     /// Waits until the next watch is due; returns the version after which it starts. The
     /// state reflects version `as_of` or, if other routers relay changes, a newer one.
     async fn wait(&self, core: &GatewayCore, as_of: StoreVersion) -> StoreVersion {
@@ -77,6 +90,17 @@
     }
 }
 
+/// Returns the longest wait of a watch that is renewed within `settle_time` even if it is never
+/// answered.
+///
+/// Nothing shows that an answer was lost: the connection looks sound, and the store answers all
+/// other calls.
+pub(crate) fn bounded_watch_wait(settle_time: Duration) -> Duration {
+    settle_time
+        .saturating_sub(WATCH_ANSWER_TIME + REREAD_TIME)
+        .clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
+}
+
 /// Results of the recent calls for one prefix.
 #[derive(Default)]
 struct PrefixHealth {
@@ -182,7 +206,7 @@
         ..PrefixHealth::default()
     };
     loop {
-        let watch = watch_while_valid(core, &prefix, era, as_of);
+        let watch = watch_while_valid(core, &prefix, era, as_of, sink.watch_wait(core));
         let answer = count_call(core, "watch", watch.await)?;
         as_of = answer.as_of.max(as_of);
         sink.apply(core, answer.events, as_of);
@@ -197,6 +221,7 @@
     prefix: &str,
     era: StoreEra,
     after: StoreVersion,
+    wait: Duration,
 ) -> Result<StoreEvents, StoreError> {
     let store = &core.backends.store;
     let restored = async {
@@ -214,7 +239,9 @@
         let prefix = prefix.to_owned();
         Err(StoreError::WatchOutdated { prefix })
     };
-    let watch = store.watch_prefix(prefix, era, after, WATCH_TIMEOUT_MS);
+    let wait_ms = wait.as_millis() as Milliseconds;
+    let deadline = Instant::now() + wait + WATCH_ANSWER_TIME;
+    let watch = store.watch_prefix(prefix, era, after, wait_ms, deadline);
     restored.or(outdated).or(watch).await
 }
 
--- a/node/src/backends/record_store.rs
+++ b/node/src/backends/record_store.rs
@@ -34,14 +34,15 @@
     async fn read_prefix(&self, prefix: &str, deadline: Instant)
     -> Result<StoredRange, StoreError>;
 
-    /// Waits at most `wait_ms` for changes below `prefix` that are newer than version
-    /// `after`, which a read or a watch has returned in `era`.
+    /// Lets the store wait at most `wait_ms` for changes below `prefix` that are newer than
+    /// version `after`, which a read or a watch has returned in `era`.
     async fn watch_prefix(
         &self,
         prefix: &str,
         era: StoreEra,
         after: StoreVersion,
         wait_ms: Milliseconds,
+        deadline: Instant,
     ) -> Result<StoreEvents, StoreError>;
 
     /// Commits a transaction if its conditions hold; returns the version of the commit.
