gateway: renew watches of the registry whose answers are lost

Cause: the same as for the configuration. A watch of the registry that is sent into a silence of the store is never answered and was given up after 11.5 s. It takes two failed calls in a row to end it earlier, and in a silence of less than some 2 s only one fails.

Ruled out: that the router knows of the drain and sends nevertheless, or that a read after the silence brings old entries back. With the watch renewed in time, and nothing else changed, the test passes.

Change: watches of the registry have the bound of the configuration's.

--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -21,6 +21,7 @@
 
 use crate::gateway_core::GatewayCore;
 use crate::peer_exchange;
+use crate::store_watch;
 use crate::store_watch::PrefixSink;
 use crate::store_watch::ReadCause;
 
@@ -162,6 +163,10 @@
         core.fleet.set_registry_unavailable(is_unavailable);
     }
 
+    fn watch_wait(&self, core: &GatewayCore) -> Duration {
+        store_watch::bounded_watch_wait(Duration::from_millis(core.settings.store_settle_ms))
+    }
+
     async fn wait(&self, core: &GatewayCore, _as_of: StoreVersion) -> StoreVersion {
         // Relayed changes postpone the next watch.
         loop {
