gateway: a refusal that does not say "not run" is no promise to the caller

Cause: an endpoint may answer with such a status after it has run a request; only its header says "not run". The router looked at the header for its own decision to try again, and passed the status on where the header was missing.

Change: such an answer to a request that must run once counts as a lost one, so the caller gets 502 without a signature. Repeatable requests get it as before. Answers that peers relay are checked again, since a peer of an earlier version passes them on; that has no test.

--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -1,5 +1,6 @@
 //! An admitted request from a caller.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,7 +20,9 @@
 use jujuberoad::serving::RouteSpec;
 use jujuberoad::serving::ServingConfig;
 use jujuberoad_node::backends::CallError;
+use jujuberoad_node::backends::CallStep;
 use jujuberoad_node::backends::CallerHead;
+use jujuberoad_node::backends::ResponseHead;
 use smol_str::SmolStr;
 
 use crate::gateway_core::GatewayCore;
@@ -37,6 +40,14 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1_500));
 
+/// Statuses that callers take for "not run", now and later.
+const PROMISE_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A request with its route, team, priority and deadline as determined by admission.
 pub(crate) struct CallerRequest {
     pub(crate) id: SmolStr,
@@ -108,6 +119,23 @@
         self.relay_head.is_none()
     }
 
+    /// Returns an error for a response of `peer` that the caller would take for "not run"
+    /// although its endpoint does not say so. An endpoint may answer with such a status after it
+    /// has run the request.
+    pub(crate) fn check_refusal(
+        &self,
+        status: StatusCode,
+        head: &ResponseHead,
+        peer: SocketAddr,
+    ) -> Result<(), CallError> {
+        let is_unproven = PROMISE_STATUSES.contains(&status) && !head.was_not_run;
+        if !is_unproven || self.route.is_repeatable() {
+            return Ok(());
+        }
+        let message = format!("status {status} without the statement that the request was not run");
+        Err(CallError::sent(CallStep::Decode, peer, message))
+    }
+
     /// Returns the time since the request arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
         self.received_at.elapsed().as_millis() as u64
--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -32,8 +32,8 @@
 
 /// Sends `request` and awaits the response head until the request's deadline.
 ///
-/// A response without the id of this request, or a success without a signature, is
-/// an error, and its connection is closed.
+/// A response without the id of this request, a success without a signature, or a refusal
+/// that may come after a run, is an error, and its connection is closed.
 pub(crate) async fn send(
     core: &GatewayCore,
     request: &CallerRequest,
@@ -72,6 +72,7 @@
         rest_watch::observe_rest(core, &reserved.target.endpoint, &head);
         limit_watch::observe_response(core, &reserved.target.endpoint, &head, sent_at);
     }
+    request.check_refusal(response.status(), &head, address)?;
     remove_connection_headers(response.headers_mut());
     if request.relay_head.is_some()
         && let Ok(endpoint) = HeaderValue::from_str(&reserved.target.endpoint)
--- a/gateway/src/relay_call.rs
+++ b/gateway/src/relay_call.rs
@@ -108,12 +108,15 @@
             }
             Ok(response) => {
                 let text = response.status().as_str().to_owned();
-                let relayed = RelayedResponse {
-                    address,
-                    response,
-                    permit,
+                let end = match check_relayed_refusal(core, request, &response, address) {
+                    Ok(()) => RelayEnd::Answered(Box::new(RelayedResponse {
+                        address,
+                        response,
+                        permit,
+                    })),
+                    Err(error) => RelayEnd::Lost(error),
                 };
-                (text, Some(RelayEnd::Answered(Box::new(relayed))))
+                (text, Some(end))
             }
             Err(error) => {
                 let mut relays = core.relays.lock().expect("relay lock");
@@ -162,6 +165,23 @@
         && value.is_some_and(|value| value == RELAY_UNABLE)
 }
 
+/// Checks a refusal that a peer passes on from an endpoint; its own ones are true. Peers of an
+/// earlier version do not check them.
+fn check_relayed_refusal(
+    core: &GatewayCore,
+    request: &CallerRequest,
+    response: &Response<PooledBody>,
+    address: SocketAddr,
+) -> Result<(), CallError> {
+    let status = response.status();
+    let dialect = &core.backends.dialect;
+    let head = dialect.read_response_head(status, response.headers());
+    if !head.is_signed {
+        return Ok(());
+    }
+    request.check_refusal(status, &head, address)
+}
+
 /// Sends the request to a peer and validates the head of the response.
 async fn send(
     core: &GatewayCore,
