gateway: send a refused request again on a connection of its own

Ruled out: that a sent request is taken for unsent (endpoints that close and reset new, idle and busy connections), and that two routers run it (frozen, killed, stopped routers): no case.

Left of it: a copy names its request, so it also refuses the next attempt of that request if that waits on the same connection. Attempts go to different endpoints, but two may have one address while an address is used again.

Change: an attempt at an address at which the request has been tried goes on a new connection.

Measured: request_that_was_refused_is_sent_on_another_connection failed before (connection 1 twice) and passes for plain and streamed requests.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -98,7 +98,7 @@
                 return self.fail(answer);
             }
             self.waited_ms = self.request.age_ms();
-            query.tried.push(reserved.target.endpoint.clone());
+            query.record_try(&reserved.target);
             let end = self.attempt(&reserved).await;
             let endpoint = reserved.target.endpoint.clone();
             drop(reserved);
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -88,15 +88,11 @@
             let longest = latency.max_wait(&self.pool, objective_ms);
             longest.saturating_sub(Duration::from_millis(self.age_at_arrival_ms))
         };
-        TargetQuery {
-            pool: self.pool.clone(),
-            // Requests that can still meet their objective precede late ones.
-            priority: 2 * self.priority + u32::from(is_late),
-            prompt_tokens: self.head.prompt_tokens,
-            queue_deadline: self.deadline.min(self.received_at + wait),
-            tried: Vec::new(),
-            is_resumed: false,
-        }
+        // Requests that can still meet their objective precede late ones.
+        let priority = 2 * self.priority + u32::from(is_late);
+        let queue_deadline = self.deadline.min(self.received_at + wait);
+        let prompt_tokens = self.head.prompt_tokens;
+        TargetQuery::new(self.pool.clone(), priority, prompt_tokens, queue_deadline)
     }
 
     /// Returns the number of attempts that the route allows after `runs` ones that may have
--- a/gateway/src/endpoint_call.rs
+++ b/gateway/src/endpoint_call.rs
@@ -44,7 +44,10 @@
     let outgoing = build_request(core, request, reserved, resume_after)
         .map_err(|error| CallError::unsent(CallStep::Send, address, error))?;
     let sent_at = Instant::now();
-    let sent = core.pool.send(address, outgoing, false, request.deadline);
+    let new_connection = reserved.is_same_address;
+    let sent = core
+        .pool
+        .send(address, outgoing, new_connection, request.deadline);
     let mut response = sent.await?;
     let head = core
         .backends
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -1,5 +1,6 @@
 //! Reserves a target for a request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,10 +30,38 @@
     pub(crate) queue_deadline: Instant,
     /// Endpoints to which the request has already been sent.
     pub(crate) tried: Vec<EndpointId>,
+    /// The addresses of these endpoints.
+    tried_addresses: Vec<SocketAddr>,
     /// Whether this resumes a stream, which precedes requests that have not started.
     pub(crate) is_resumed: bool,
 }
 
+impl TargetQuery {
+    /// Creates a query for the first attempt of a request.
+    pub(crate) fn new(
+        pool: PoolKey,
+        priority: u32,
+        prompt_tokens: u32,
+        queue_deadline: Instant,
+    ) -> Self {
+        Self {
+            pool,
+            priority,
+            prompt_tokens,
+            queue_deadline,
+            tried: Vec::new(),
+            tried_addresses: Vec::new(),
+            is_resumed: false,
+        }
+    }
+
+    /// Records that the request is being sent to `target`.
+    pub(crate) fn record_try(&mut self, target: &ServingTarget) {
+        self.tried.push(target.endpoint.clone());
+        self.tried_addresses.push(target.address);
+    }
+}
+
 /// Why no target could be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -55,6 +84,9 @@
 pub(crate) struct ReservedTarget {
     core: Arc<GatewayCore>,
     pub(crate) target: ServingTarget,
+    /// Whether an earlier attempt of the request went to the same address. An answer to that one
+    /// may be repeated on its connection, and names the request as well.
+    pub(crate) is_same_address: bool,
     pending_prefill_tokens: u32,
 }
 
@@ -202,6 +234,7 @@
         }
         Some(Self {
             core: Arc::clone(core),
+            is_same_address: query.tried_addresses.contains(&target.address),
             target,
             pending_prefill_tokens: query.prompt_tokens,
         })
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -154,7 +154,7 @@
                 self.waited_ms = self.request.age_ms();
             }
             let endpoint = reserved.target.endpoint.clone();
-            self.query.tried.push(endpoint.clone());
+            self.query.record_try(&reserved.target);
             let end = match self.attempt(reserved, after).await {
                 Ok(end) => end,
                 Err(end) => return end,
