gateway: refuse requests that are complete too late in a stop

Report of other operators: in a planned stop, requests that came late in the grace time were taken and passed on, and cut with no answer at its end.

What callers see here: a request whose head or body is complete only after the router has closed its idle connections was passed on, and cut without an answer when the process exited. Unsafe requests ran, or may have.

Cause: a request that is being read counts as one in progress, and nothing compared its deadline with the exit.

Ruled out: idle and fresh connections; they are closed unread 2.5 s after SIGTERM.

Change: the schedule of a stop is one value, StopPlan. A request that is complete after idle connections were closed is begun only if its deadline ends it before the exit, else it gets a true 503; a peer that relays it asks another router.

--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -97,6 +97,14 @@
             None => 0,
         };
         let body = body.read(&config.limits, deadline).await?;
+        if !self.core.may_begin(deadline) {
+            let reason = "this router is stopping and exits before the request's deadline";
+            let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return Err(match relay_head {
+                Some(_) => reply.for_other_router(),
+                None => reply,
+            });
+        }
         remove_connection_headers(&mut parts.headers);
         let has_groups = config
             .services
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -49,6 +49,7 @@
 use crate::poison_guard::PoisonGuard;
 use crate::slot_queue::SlotQueue;
 use crate::stall_monitor::StallMonitor;
+use crate::stop_plan::StopPlan;
 use crate::store_session::StoreSession;
 
 /// Time for which an endpoint that did not answer is avoided, unless the registry
@@ -104,7 +105,8 @@
     pub(crate) session: StoreSession,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: GatewayMetrics,
-    pub(crate) is_stopping: AtomicBool,
+    /// The schedule of the stop, once one was requested.
+    pub(crate) stop_plan: OnceLock<StopPlan>,
     /// Whether this router is currently the placer, which may send orders to engines.
     pub(crate) is_placer: AtomicBool,
     /// Whether this router is currently forming groups.
@@ -332,8 +334,14 @@
             .order_fence(self.backends.store.eras().newest())
     }
 
+    /// Returns whether a request may be begun now, which ends by `deadline`.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        let plan = self.stop_plan.get();
+        plan.is_none_or(|plan| plan.may_begin(deadline, Instant::now()))
+    }
+
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.stop_plan.get().is_some()
     }
 }
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -55,6 +56,7 @@
 use crate::stall_monitor::StallMonitor;
 use crate::stall_probe;
 use crate::state_log;
+use crate::stop_plan::StopPlan;
 use crate::store_session;
 use crate::store_session::StoreSession;
 use crate::store_watch;
@@ -62,11 +64,6 @@
 /// Timeout for connecting to an endpoint. A round trip takes a few milliseconds at
 /// most, and the shortest latency objective is 120 ms.
 const CONNECT_TIMEOUT_MS: u64 = 250;
-/// Time for which a stopping router still accepts connections: the load balancer
-/// checks readiness once a second and removes it after two failed checks.
-const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_500);
-/// Margin before the end of the grace period at which the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(700);
 /// Interval at which a stopping router checks for open connections.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which callers and endpoints may leave sent data unread. Sound ones pause for
@@ -127,16 +124,15 @@
     start_tasks(&core);
 
     wait_for_stop(&core, signals).await;
-    let stop_requested_at = Instant::now();
-    let grace_ends =
-        stop_requested_at + Duration::from_millis(core.settings.grace_ms) - GRACE_MARGIN;
-    core.is_stopping.store(true, Ordering::Relaxed);
+    let grace = Duration::from_millis(core.settings.grace_ms);
+    let plan = StopPlan::new(Instant::now(), grace);
+    core.stop_plan.get_or_init(|| plan);
     core.log
         .write(LogKind::Stop, json!({"state": "leaving rotation"}));
     store_session::end(&core).await;
-    Timer::at((stop_requested_at + BALANCER_NOTICE_TIME).min(grace_ends)).await;
+    Timer::at(plan.leaves_at).await;
     drop(caller_stop_guard);
-    while count_open() > 0 && Instant::now() < grace_ends {
+    while count_open() > 0 && Instant::now() < plan.exits_at {
         Timer::after(DRAIN_CHECK_INTERVAL).await;
     }
     store_session::hand_over(&core).await;
@@ -218,7 +214,7 @@
         session: StoreSession::default(),
         log,
         metrics: GatewayMetrics::default(),
-        is_stopping: false.into(),
+        stop_plan: OnceLock::new(),
         is_placer: false.into(),
         is_forming_groups: false.into(),
         is_registry_unavailable: false.into(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod stall_monitor;
 mod stall_probe;
 mod state_log;
+mod stop_plan;
 mod store_session;
 mod store_watch;
 mod stream_attempt;
