gateway: a cut watch is no outage of the store

Cause: any failed call for a prefix counted as an outage, also a watch that the store had cut. After an outage, entries that are missing are kept for 2.3 s, longer than the 2 s for departures.

Ruled out: that the read comes late (0.12 s after the cut), and that an older change brings the entry back (no line `endpoint` for it after the read).

Change: the read after a cut watch counts as one after an outage only if another call has failed since the store last answered for the prefix. A renewal of the lease is due every 0.6 s, so an outage that lets entries lapse shows.

Measured: endpoint_that_leaves_beside_a_cut_watch_gets_no_requests failed before (the read has the cause `outage`) and passes (`routine`).

--- a/gateway/src/outage_clock.rs
+++ b/gateway/src/outage_clock.rs
@@ -1,6 +1,7 @@
-//! Notices the end of outages of the store, for watches that were pending meanwhile.
+//! Notices outages of the store, and their end for watches that were pending meanwhile.
 
 use std::sync::Mutex;
+use std::time::Instant;
 
 use jujuberoad_node::backends::StoreError;
 use smol::channel;
@@ -23,6 +24,8 @@
 
 struct ClockState {
     unanswered_calls: u32,
+    /// When the last call failed or was refused.
+    last_failure_at: Option<Instant>,
     ended: OutageCount,
     /// Closed at the end of the next outage.
     next_end: Sender<()>,
@@ -34,6 +37,7 @@
         let (next_end, end_signal) = channel::bounded(1);
         let state = ClockState {
             unanswered_calls: 0,
+            last_failure_at: None,
             ended: 0,
             next_end,
             end_signal,
@@ -48,6 +52,11 @@
     /// Records the result of a call that is no watch. A refusal is an answer, too.
     pub(crate) fn observe<T>(&self, result: &Result<T, StoreError>) {
         let mut state = self.state.lock().expect("outage lock");
+        if let Err(error) = result
+            && error.is_outage()
+        {
+            state.last_failure_at = Some(Instant::now());
+        }
         if let Err(StoreError::Call(_)) = result {
             state.unanswered_calls = state.unanswered_calls.saturating_add(1);
             return;
@@ -62,6 +71,13 @@
         }
     }
 
+    /// Returns whether a call that is no watch has failed since `since`. The store may have been
+    /// away then, and entries may have lapsed meanwhile.
+    pub(crate) fn has_failed_since(&self, since: Instant) -> bool {
+        let state = self.state.lock().expect("outage lock");
+        state.last_failure_at.is_some_and(|at| at >= since)
+    }
+
     /// Returns the number of outages that have ended.
     pub(crate) fn ended(&self) -> OutageCount {
         self.state.lock().expect("outage lock").ended
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -47,9 +47,9 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum ReadCause {
-    /// A start, or a watch that was interrupted.
+    /// A start, or a watch that was interrupted beside calls that succeed.
     Routine,
-    /// Failed calls for the prefix.
+    /// Failed calls: entries may have lapsed while the store was away.
     Outage,
     /// A restore of the store from a copy: what is missing may have been lost.
     Restore,
@@ -106,20 +106,39 @@
 struct PrefixHealth {
     /// Era of the last full read.
     era: Option<StoreEra>,
+    /// When the store last answered for the prefix.
+    confirmed_at: Option<Instant>,
+    /// Consecutive failures, without those of watches that were interrupted.
     failures: u32,
     is_unavailable: bool,
     reason: String,
 }
 
+impl PrefixHealth {
+    /// Returns whether other calls have failed since the store last answered for the prefix.
+    fn has_missed_calls(&self, core: &GatewayCore) -> bool {
+        let outages = &core.store_outages;
+        self.confirmed_at
+            .is_some_and(|confirmed_at| outages.has_failed_since(confirmed_at))
+    }
+}
+
+/// A failed call for one prefix.
+enum FollowError {
+    Read(StoreError),
+    Watch(StoreError),
+}
+
 /// Starts the task that reads and watches a prefix.
 pub(crate) fn follow(core: Arc<GatewayCore>, sink: impl PrefixSink) {
     runtime::spawn(async move {
         let mut health = PrefixHealth::default();
         loop {
             wait_for_store(&core, &sink, &mut health).await;
-            let error = match read_and_watch(&core, &sink, &mut health).await {
+            let (error, is_watch) = match read_and_watch(&core, &sink, &mut health).await {
                 Ok(never) => match never {},
-                Err(error) => error,
+                Err(FollowError::Read(error)) => (error, false),
+                Err(FollowError::Watch(error)) => (error, true),
             };
             if let StoreError::EraChanged { .. } = error {
                 continue;
@@ -131,7 +150,9 @@
                 );
                 continue;
             }
-            health.failures += 1;
+            // A watch may be cut at any time; other calls show whether the store is away.
+            let is_cut = is_watch && matches!(error, StoreError::Call(_));
+            health.failures += u32::from(!is_cut);
             health.reason = error.to_string();
             if health.failures >= UNAVAILABLE_AFTER_FAILURES {
                 mark_prefix_unavailable(&core, &sink, &mut health);
@@ -142,10 +163,10 @@
 }
 
 /// Waits until the circuit breaker of the store permits a call. While it is open, a
-/// prefix whose last call failed counts as unavailable.
+/// prefix counts as unavailable whose last call failed, or whose watch was cut meanwhile.
 async fn wait_for_store(core: &GatewayCore, sink: &impl PrefixSink, health: &mut PrefixHealth) {
     while let Some(retry_at) = core.try_store_call() {
-        if health.failures > 0 {
+        if health.failures > 0 || health.has_missed_calls(core) {
             mark_prefix_unavailable(core, sink, health);
         }
         Timer::at(retry_at).await;
@@ -175,7 +196,7 @@
     core: &Arc<GatewayCore>,
     sink: &impl PrefixSink,
     health: &mut PrefixHealth,
-) -> Result<Never, StoreError> {
+) -> Result<Never, FollowError> {
     let prefix = sink.prefix();
     let read = core
         .backends
@@ -185,7 +206,7 @@
     // about the store, but the read that follows it does.
     let result = read.await;
     core.record_store_result(&result);
-    let range = count_call(core, "read", result)?;
+    let range = count_call(core, "read", result).map_err(FollowError::Read)?;
     let mut as_of = range.as_of;
     if health.is_unavailable {
         core.log.write(
@@ -196,18 +217,20 @@
     let era = range.era;
     let cause = match health.era {
         Some(known) if known != era => ReadCause::Restore,
-        _ if health.failures > 0 => ReadCause::Outage,
+        _ if health.failures > 0 || health.has_missed_calls(core) => ReadCause::Outage,
         _ => ReadCause::Routine,
     };
     sink.replace(core, range, cause);
     sink.set_unavailable(core, false);
     *health = PrefixHealth {
         era: Some(era),
+        confirmed_at: Some(Instant::now()),
         ..PrefixHealth::default()
     };
     loop {
         let watch = watch_while_valid(core, &prefix, era, as_of, sink.watch_wait(core));
-        let answer = count_call(core, "watch", watch.await)?;
+        let answer = count_call(core, "watch", watch.await).map_err(FollowError::Watch)?;
+        health.confirmed_at = Some(Instant::now());
         as_of = answer.as_of.max(as_of);
         sink.apply(core, answer.events, as_of);
         as_of = sink.wait(core, as_of).await.max(as_of);
