--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -151,8 +151,8 @@
                 continue;
             }
             // A watch may be cut at any time; other calls show whether the store is away.
-            let is_cut = is_watch && matches!(error, StoreError::Call(_));
-            health.failures += u32::from(!is_cut);
+            let is_interrupted = is_watch && matches!(error, StoreError::Call(_));
+            health.failures += u32::from(!is_interrupted);
             health.reason = error.to_string();
             if health.failures >= UNAVAILABLE_AFTER_FAILURES {
                 mark_prefix_unavailable(&core, &sink, &mut health);
