--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -45,6 +46,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
 use crate::outage_clock::OutageClock;
+use crate::overload_mode::OverloadMode;
 use crate::peer_exchange::PendingRelay;
 use crate::poison_guard::PoisonGuard;
 use crate::slot_queue::SlotQueue;
@@ -113,6 +115,8 @@
     pub(crate) is_forming_groups: AtomicBool,
     /// Whether the registry is currently unreadable.
     pub(crate) is_registry_unavailable: AtomicBool,
+    /// Whether the routers of the fleet are known to differ in their processor shares.
+    pub(crate) is_fleet_uneven: AtomicBool,
     /// Whether any request has been admitted since the process started.
     pub(crate) has_traffic: AtomicBool,
 }
@@ -340,6 +344,15 @@
         plan.is_none_or(|plan| plan.may_begin(deadline, Instant::now()))
     }
 
+    /// Returns whether the decisions for overloaded fleets are in force.
+    pub(crate) fn handles_overload(&self) -> bool {
+        match self.settings.overload_mode {
+            OverloadMode::No => false,
+            OverloadMode::Yes => true,
+            OverloadMode::Uneven => self.is_fleet_uneven.load(Ordering::Relaxed),
+        }
+    }
+
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -218,6 +218,7 @@
         is_placer: false.into(),
         is_forming_groups: false.into(),
         is_registry_unavailable: false.into(),
+        is_fleet_uneven: false.into(),
         has_traffic: false.into(),
     })
 }
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -13,6 +13,18 @@
 use jujuberoad_node::settings::SettingsError;
 use smol_str::SmolStr;
 
+use crate::overload_mode::OverloadMode;
+
+/// Memory assumed for a VM whose settings do not name it.
+const DEFAULT_MEMORY_BYTES: u64 = 512_000_000;
+/// Part of the memory that bodies of requests and answers may take by default.
+const DEFAULT_BODY_MEMORY_PART: u64 = 4;
+/// Memory of the VM for each open connection of a caller by default: the buffers of its socket
+/// and of the HTTP library.
+const DEFAULT_MEMORY_PER_CONNECTION: u64 = 128 << 10;
+/// Thousandths of a core in one core.
+const MILLICORES: f64 = 1_000.0;
+
 /// Identity, addresses and limits of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -20,6 +32,10 @@
     pub id: RouterId,
     /// Availability zone of the process.
     pub zone: ZoneId,
+    /// Share of a processor core that the process has, in thousandths.
+    pub cpu_millicores: u32,
+    /// Contracts that the platform names; the gateway itself does not read them.
+    pub contracts: Vec<SmolStr>,
     /// Whether this is the first start of the fleet, which has served no request yet.
     pub is_first_start: bool,
     /// TCP address for callers.
@@ -47,9 +63,19 @@
     pub retry_ratio: f64,
     /// Additional retries allowed per window, shared by all routers.
     pub retry_fixed: f64,
+    /// Memory of the VM.
+    pub memory_bytes: u64,
+    /// Memory that bodies of requests and answers may take together.
+    pub body_memory_bytes: u64,
+    /// Number of connections that callers may have open.
+    pub max_connections: u64,
+    /// When the decisions for overloaded fleets are in force.
+    pub overload_mode: OverloadMode,
+    /// Routers with a smaller processor share exchange load with one peer only.
+    pub member_below_millicores: u32,
 }
 
-const SECTIONS: [&str; 4] = ["limits", "listen", "process", "store"];
+const SECTIONS: [&str; 5] = ["limits", "listen", "overload", "process", "store"];
 
 impl GatewaySettings {
     /// Returns a hash of the id, which distinguishes the processes of a fleet in most cases.
@@ -83,6 +109,8 @@
         let id = reader.text("id");
         let zone = reader.text("zone");
         let is_first_start = reader.flag("first_start", false);
+        let cpu_millicores = millicores(&mut reader, "cpu", 1.0);
+        let contracts = reader.list("contracts");
         reader.finish();
 
         let listen = section("listen");
@@ -107,6 +135,16 @@
         let retry_window_ms = reader.duration_ms("retry_window", 10_000);
         let retry_ratio = non_negative_number(&mut reader, "retry_ratio", 0.1);
         let retry_fixed = non_negative_number(&mut reader, "retry_fixed", 20.0);
+        let memory_bytes = reader.size("memory", DEFAULT_MEMORY_BYTES);
+        let body_memory_bytes = reader.size("body_memory", memory_bytes / DEFAULT_BODY_MEMORY_PART);
+        let default_connections = (memory_bytes / DEFAULT_MEMORY_PER_CONNECTION).max(1);
+        let max_connections = reader.count("connections", default_connections, 1);
+        reader.finish();
+
+        let overload = section("overload");
+        let mut reader = SectionReader::new(&overload, &mut problems);
+        let overload_mode = overload_mode(&mut reader);
+        let member_below_millicores = millicores(&mut reader, "member_below_cpu", 0.25);
         reader.finish();
 
         if !problems.is_empty() {
@@ -129,6 +167,13 @@
             retry_window_ms,
             retry_ratio,
             retry_fixed,
+            cpu_millicores,
+            contracts,
+            memory_bytes,
+            body_memory_bytes,
+            max_connections,
+            overload_mode,
+            member_below_millicores,
         })
     }
 }
@@ -147,6 +192,18 @@
     }
 }
 
+fn millicores(reader: &mut SectionReader<'_>, key: &'static str, default: f64) -> u32 {
+    (non_negative_number(reader, key, default) * MILLICORES).round() as u32
+}
+
+fn overload_mode(reader: &mut SectionReader<'_>) -> OverloadMode {
+    let text = reader.text_or("mode", "no");
+    text.parse().unwrap_or_else(|_| {
+        reader.report_value("mode", "no, yes or uneven");
+        OverloadMode::default()
+    })
+}
+
 fn reject_unknown_sections(document: &IniDocument, problems: &mut Vec<ConfigProblem>) {
     for section in document.sections.values() {
         if SECTIONS.contains(&section.kind.as_str()) && section.name.is_empty() {
--- a/lib/src/peer/peer_message.rs
+++ b/lib/src/peer/peer_message.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::PeerDigest;
 use crate::claims::ClaimAnswer;
 use crate::claims::ClaimKey;
 use crate::claims::ClaimReply;
@@ -19,6 +20,7 @@
 use crate::ids::Nonce;
 use crate::ids::PromptPartId;
 use crate::ids::ServiceId;
+use crate::ids::ZoneId;
 use crate::membership::ConfirmedVersion;
 use crate::membership::PeerVote;
 use crate::poison::CrashEvidence;
@@ -126,6 +128,18 @@
     RequestLimits(Vec<LimitNotice>),
     /// Tells to which services the sender has lost its path; none if it has them all again.
     LostPaths(BTreeSet<ServiceId>),
+    /// Asks which routers can be the hub of the sender.
+    HubQuery,
+    /// Tells that the sender can be a hub.
+    HubInfo {
+        /// Availability zone of the sender.
+        zone: ZoneId,
+    },
+    /// Digest of a member for its hub.
+    MemberDigest(PeerDigest),
+    /// Digest of a hub: for a member, that of the whole fleet without the member's own part; for
+    /// another hub, that of the sender and its members.
+    FleetDigest(PeerDigest),
 }
 
 impl PeerMessage {
--- a/lib/tests/test_peer_encoding.rs
+++ b/lib/tests/test_peer_encoding.rs
@@ -15,6 +15,7 @@
 use jujuberoad::fleet::MemberState;
 use jujuberoad::fleet::RegistryDelta;
 use jujuberoad::peer::PEER_VERSION;
+use jujuberoad::peer::PeerDigest;
 use jujuberoad::peer::PeerFrame;
 use jujuberoad::peer::PeerMessage;
 use jujuberoad::peer::RelayHead;
@@ -176,9 +177,11 @@
 /// A message that a later build has added cannot be read, and is not taken for another one.
 #[test]
 fn frames_with_an_unknown_message_are_refused() {
-    let frame = frame(PeerMessage::LostPaths(BTreeSet::new()));
-    let mut bytes = postcard::to_stdvec(&frame).expect("a frame serializes");
-    let message = bytes.len() - 2;
+    let last = frame(PeerMessage::FleetDigest(PeerDigest::default()));
+    let mut bytes = postcard::to_stdvec(&last).expect("a frame serializes");
+    let query = frame(PeerMessage::HubQuery);
+    let query = postcard::to_stdvec(&query).expect("a frame serializes");
+    let message = query.len() - 1;
     bytes[message] += 1;
     assert!(postcard::from_bytes::<PeerFrame>(&bytes).is_err());
 }
