lib, gateway: digests of load through hubs

Cause: a router of 0.12 core sends its load to all peers and gets theirs; at 79 routers the load that it knows of an endpoint is 0.22 s old on average.

Change: routers below member_below_cpu choose a hub, send it their digest each 100 ms and get that of the whole fleet from it. Hubs tell each other their own part and that of their members, and send Loads with the same sum to builds that know no digests. Outcomes, what waits, the placer's fence and processor shares are summed on the same way; DigestExchange is where other modules add to them and take them. A fleet without members and with the mode off sends Loads only, at the same times.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -41,6 +41,7 @@
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 
+use crate::digest_exchange::DigestExchange;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
 use crate::gateway_metrics::GatewayMetrics;
@@ -84,6 +85,8 @@
     /// Routers that are missing from the list since the store was restored.
     pub(crate) unconfirmed_routers: Mutex<BTreeSet<RouterId>>,
     pub(crate) loads: Mutex<LoadTable>,
+    /// Digests from peers, and what the next ones to them contain.
+    pub(crate) digests: DigestExchange,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -30,6 +30,7 @@
 use smol::net::TcpListener;
 
 use crate::caller_api::CallerApi;
+use crate::digest_exchange::DigestExchange;
 use crate::era_watch;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
@@ -184,6 +185,7 @@
         settings.retry_fixed,
     );
     let quota_divider = QuotaDivider::new(settings.id.clone(), settings.retry_window_ms);
+    let digests = DigestExchange::new(&settings);
     let log = DecisionLog::new(settings.id.clone());
     Arc::new(GatewayCore {
         settings,
@@ -196,6 +198,7 @@
         models_without_room: Mutex::default(),
         unconfirmed_routers: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
+        digests,
         first_events: Mutex::default(),
         caller_retries: Mutex::default(),
         retry_budget: Mutex::new(retry_budget),
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use hyper::Request;
@@ -65,6 +66,8 @@
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
     registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+    digest_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+    hub_members: Gauge<i64, std::sync::atomic::AtomicI64>,
 }
 
 impl Default for GatewayMetrics {
@@ -93,6 +96,8 @@
             waiting: Gauge::default(),
             serving_targets: Gauge::default(),
             registry_age_ms: Gauge::default(),
+            digest_age_ms: Gauge::default(),
+            hub_members: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -192,6 +197,16 @@
             "Time since the registry was confirmed",
             age,
         );
+        registry.register(
+            "digest_age_ms",
+            "Age of the oldest load report of a peer that counts",
+            metrics.digest_age_ms.clone(),
+        );
+        registry.register(
+            "hub_members",
+            "Routers that have this one as their hub",
+            metrics.hub_members.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -244,6 +259,14 @@
             .registry_confirmed_at
             .map(|at| at.elapsed().as_millis() as i64);
         metrics.registry_age_ms.set(age.unwrap_or(-1));
+        let members = self.core.digests.member_count();
+        metrics.hub_members.set(members as i64);
+        let age = {
+            let loads = self.core.loads.lock().expect("load lock");
+            loads.oldest_report(Instant::now())
+        };
+        let age = age.map(|age| age.as_millis() as i64);
+        metrics.digest_age_ms.set(age.unwrap_or(-1));
         let mut text = String::new();
         let mut response = match encode(&mut text, &metrics.registry) {
             Ok(()) => Response::new(full_body(text)),
--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -1,4 +1,4 @@
-//! Messages between routers: load digests, engine reports, group failures and handovers.
+//! Messages between routers: engine reports, group failures and handovers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +27,7 @@
 use smol::Timer;
 
 use crate::boot_clock;
+use crate::digest_exchange;
 use crate::gateway_core::GatewayCore;
 use crate::limit_watch;
 use crate::path_watch;
@@ -35,16 +36,6 @@
 use crate::stall_probe;
 use crate::stall_probe::ProbeCause;
 
-/// Base interval between load digests.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(50);
-/// Added to the interval for each peer, so that the message rate of a router stays
-/// bounded as the fleet grows.
-const DIGEST_INTERVAL_PER_PEER: Duration = Duration::from_millis(5);
-/// Shortest time for which a peer's digest is valid.
-const MIN_DIGEST_LIFETIME: Duration = Duration::from_millis(600);
-/// Number of digests in the time for which one is valid, because datagrams may be lost.
-const DIGESTS_PER_LIFETIME: u32 = 3;
-
 /// Time for which a group is avoided because of a peer's message; by then the registry
 /// or the placer has reported its state.
 const PEER_REPORT_COOLDOWN: Duration = Duration::from_millis(2_000);
@@ -78,30 +69,7 @@
     });
     runtime::spawn(Arc::clone(&core.peers).run(handler));
     start_relay(Arc::clone(&core));
-    runtime::spawn(async move {
-        loop {
-            Timer::after(digest_interval(&core)).await;
-            let loads = {
-                let mut loads = core.loads.lock().expect("load lock");
-                loads.expire(Instant::now());
-                let own = loads.own();
-                own.map(|(endpoint, load)| (endpoint.clone(), *load))
-                    .collect()
-            };
-            let era = core.backends.store.eras().newest();
-            let placer = core.session.announced_fence(era);
-            broadcast(&core, PeerMessage::Loads { loads, placer }).await;
-        }
-    });
-}
-
-/// Returns the time between load digests, which grows with the number of peers.
-fn digest_interval(core: &GatewayCore) -> Duration {
-    let peers = {
-        let addresses = core.peer_addresses.lock().expect("peer lock");
-        addresses.len() as u32
-    };
-    DIGEST_INTERVAL + DIGEST_INTERVAL_PER_PEER * peers
+    digest_exchange::start(core);
 }
 
 /// Starts the task that relays changes of the registry while this router is the placer.
@@ -295,18 +263,13 @@
 }
 
 impl PeerHandler for PeerReceiver {
-    fn handle_request(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, _from: SocketAddr) {
+    fn handle_request(&self, _socket: &Arc<PeerSocket>, frame: PeerFrame, from: SocketAddr) {
         match frame.message {
-            PeerMessage::Loads { loads, placer } => {
-                if let Some(fence) = placer {
-                    self.core.session.observe_peer_fence(fence);
-                }
-                let now = Instant::now();
-                let mut table = self.core.loads.lock().expect("load lock");
-                let lifetime = digest_interval(&self.core) * DIGESTS_PER_LIFETIME;
-                let valid_until = now + lifetime.max(MIN_DIGEST_LIFETIME);
-                table.observe_peer(frame.sender, loads, now, valid_until);
-            }
+            PeerMessage::Loads { .. }
+            | PeerMessage::HubQuery
+            | PeerMessage::HubInfo { .. }
+            | PeerMessage::MemberDigest(_)
+            | PeerMessage::FleetDigest(_) => digest_exchange::receive(&self.core, frame, from),
             PeerMessage::EngineReports { placer, reports } => {
                 self.core.session.observe_peer_fence(placer);
                 self.apply_engine_reports(reports);
--- a/lib/src/fleet/load_table.rs
+++ b/lib/src/fleet/load_table.rs
@@ -1,5 +1,6 @@
 //! Load of each endpoint over all routers.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -105,6 +106,53 @@
         total
     }
 
+    /// Adds the load that `peer` has reported to `sums`; pending tokens are reduced as in
+    /// [`Self::total`].
+    pub fn add_peer(
+        &self,
+        peer: &RouterId,
+        prefill_ms_per_token: &dyn Fn(&EndpointId) -> f64,
+        now: Instant,
+        sums: &mut BTreeMap<EndpointId, EndpointLoad>,
+    ) {
+        let Some(peer) = self.peers.get(peer) else {
+            return;
+        };
+        let age = now.saturating_duration_since(peer.seen_at);
+        for (endpoint, load) in &peer.loads {
+            let sum = sums.entry(endpoint.clone()).or_default();
+            sum.requests = sum.requests.saturating_add(load.requests);
+            if load.pending_prefill_tokens == 0 {
+                continue;
+            }
+            let rate = prefill_ms_per_token(endpoint);
+            let tokens = remaining_prefill_tokens(load.pending_prefill_tokens, rate, age);
+            sum.pending_prefill_tokens = sum.pending_prefill_tokens.saturating_add(tokens);
+        }
+    }
+
+    /// Returns the peers with a load report that has not expired.
+    pub fn peers(&self) -> impl Iterator<Item = &RouterId> {
+        self.peers.keys()
+    }
+
+    /// Returns the age of the oldest report that counts.
+    pub fn oldest_report(&self, now: Instant) -> Option<Duration> {
+        let peers = self.peers.values();
+        let ages = peers.map(|peer| now.saturating_duration_since(peer.seen_at));
+        ages.max()
+    }
+
+    /// Drops the load of a peer.
+    pub fn forget_peer(&mut self, peer: &RouterId) {
+        self.peers.remove(peer);
+    }
+
+    /// Drops the load of all peers but `kept`, which reports for all of them.
+    pub fn retain_peer(&mut self, kept: &RouterId) {
+        self.peers.retain(|peer, _| peer == kept);
+    }
+
     /// Returns the load that this router has placed, by endpoint.
     pub fn own(&self) -> impl Iterator<Item = (&EndpointId, &EndpointLoad)> {
         self.own.iter()
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,6 +6,9 @@
 
 mod avoid_list;
 mod delta_step;
+mod digest_planner;
+mod digest_round;
+mod digest_sum;
 mod endpoint_record;
 mod endpoint_state;
 mod endpoint_table;
@@ -48,6 +51,13 @@
 
 pub use avoid_list::AvoidList;
 pub use delta_step::DeltaStep;
+pub use digest_planner::DigestInput;
+pub use digest_planner::DigestPlanner;
+pub use digest_planner::DigestSend;
+pub use digest_planner::DigestTick;
+pub use digest_round::DigestRound;
+pub use digest_sum::DigestSum;
+pub use digest_sum::OutcomeSums;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -3,6 +3,7 @@
 
 mod confirmed_version;
 mod home_table;
+mod hub_table;
 mod lease_term;
 mod outage_tally;
 mod relay_plan;
@@ -15,6 +16,12 @@
 pub use confirmed_version::ConfirmedVersion;
 pub use home_table::HomeTable;
 pub(crate) use home_table::rendezvous_score;
+pub use hub_table::DigestKind;
+pub use hub_table::HUB_SILENCE;
+pub use hub_table::HubStep;
+pub use hub_table::HubTable;
+pub use hub_table::LoadsUse;
+pub use hub_table::MEMBER_INTERVAL;
 pub use lease_term::LeaseTerm;
 pub use outage_tally::OutageTally;
 pub use outage_tally::PeerVote;
--- /dev/null
+++ b/lib/tests/testutils/digest_sim.rs
@@ -0,0 +1,283 @@
+//! Routers that exchange digests over a simulated network.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujuberoad::fleet::DigestInput;
+use jujuberoad::fleet::DigestPlanner;
+use jujuberoad::fleet::LoadTable;
+use jujuberoad::ids::EndpointId;
+use jujuberoad::ids::RouterId;
+use jujuberoad::peer::PEER_VERSION;
+use jujuberoad::peer::PeerDigest;
+use jujuberoad::peer::PeerFrame;
+use jujuberoad::peer::PeerMessage;
+
+/// Latency between two routers.
+const LATENCY: Duration = Duration::from_millis(2);
+/// Processor share of a hub and of a member.
+pub const HUB_CPU: u32 = 500;
+pub const MEMBER_CPU: u32 = 120;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouterRole {
+    Hub,
+    Member,
+    /// A build that knows no digests.
+    Older,
+}
+
+pub struct SimRouter {
+    pub id: RouterId,
+    pub role: RouterRole,
+    pub planner: DigestPlanner,
+    pub loads: LoadTable,
+    pub is_up: bool,
+    pub next_at: Instant,
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+    pub sent: u64,
+    pub received: u64,
+    pub kinds: BTreeMap<&'static str, u64>,
+}
+
+pub struct DigestSim {
+    pub now: Instant,
+    pub routers: Vec<SimRouter>,
+    pub always_announces: bool,
+    /// Links that lose everything, from one router to another.
+    pub cuts: BTreeSet<(usize, usize)>,
+    ids: Vec<RouterId>,
+    inbox: BTreeMap<(Instant, u64), (usize, usize, PeerMessage, u64)>,
+    serial: u64,
+}
+
+fn zone_of(index: usize) -> &'static str {
+    ["z1", "z2", "z3"][index % 3]
+}
+
+impl DigestSim {
+    pub fn new(roles: &[RouterRole], always_announces: bool) -> Self {
+        let now = Instant::now();
+        let routers = roles.iter().enumerate().map(|(index, role)| {
+            let id = RouterId::from(format!("r{index:03}"));
+            // Their first ticks differ as those of processes do.
+            let next_at = now + Duration::from_millis(37 * index as u64 % 211);
+            SimRouter::new(id, *role, index, next_at)
+        });
+        let routers: Vec<_> = routers.collect();
+        Self {
+            now,
+            ids: routers.iter().map(|router| router.id.clone()).collect(),
+            routers,
+            always_announces,
+            cuts: BTreeSet::new(),
+            inbox: BTreeMap::new(),
+            serial: 0,
+        }
+    }
+
+    /// Returns a fleet of hubs, then members.
+    pub fn fleet(hubs: usize, members: usize) -> Self {
+        let mut roles = vec![RouterRole::Hub; hubs];
+        roles.resize(hubs + members, RouterRole::Member);
+        Self::new(&roles, false)
+    }
+
+    /// Places one request of each router on an endpoint that all share and on one of its own.
+    pub fn place_loads(&mut self) {
+        for index in 0..self.routers.len() {
+            self.place_load(index);
+        }
+    }
+
+    pub fn place_load(&mut self, index: usize) {
+        let loads = &mut self.routers[index].loads;
+        loads.begin_request(&own_endpoint(index), 0);
+        loads.begin_request(&"shared".into(), 0);
+    }
+
+    pub fn run_ms(&mut self, span: u64) {
+        let end = self.now + Duration::from_millis(span);
+        loop {
+            let tick_at = self.routers.iter().filter(|router| router.is_up);
+            let tick_at = tick_at.map(|router| router.next_at).min();
+            let due_at = self.inbox.keys().next().map(|(at, _)| *at);
+            let Some(next) = tick_at.into_iter().chain(due_at).min() else {
+                break;
+            };
+            if next > end {
+                break;
+            }
+            self.now = next;
+            if due_at == Some(next) {
+                self.deliver();
+            } else {
+                self.tick(next);
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn stop(&mut self, index: usize) {
+        self.routers[index].is_up = false;
+    }
+
+    /// Starts a process that knows nothing in place of the one at `index`.
+    pub fn restart(&mut self, index: usize) {
+        let (id, role) = (self.routers[index].id.clone(), self.routers[index].role);
+        self.routers[index] = SimRouter::new(id, role, index, self.now);
+    }
+
+    pub fn hub_of(&self, index: usize) -> Option<usize> {
+        let hub = self.routers[index].planner.table().hub()?;
+        self.ids.iter().position(|id| id == hub)
+    }
+
+    /// Returns the requests that a router counts on the shared endpoint.
+    pub fn shared(&self, index: usize) -> u32 {
+        self.seen(index, &"shared".into())
+    }
+
+    pub fn seen(&self, index: usize, endpoint: &EndpointId) -> u32 {
+        let mut loads = self.routers[index].loads.clone();
+        loads.expire(self.now);
+        loads.total(endpoint, 0.0, self.now).requests
+    }
+
+    fn tick(&mut self, at: Instant) {
+        let routers = self.routers.iter();
+        let due = routers.clone().position(|r| r.is_up && r.next_at == at);
+        let index = due.expect("a router is due");
+        let now = self.now;
+        let router = &mut self.routers[index];
+        router.loads.expire(now);
+        let own = router.own_digest();
+        if router.role == RouterRole::Older {
+            let all = (0..self.ids.len())
+                .filter(|other| *other != index)
+                .collect();
+            router.next_at = now + Duration::from_millis(50 + 5 * self.ids.len() as u64);
+            let message = PeerMessage::Loads {
+                loads: own.loads,
+                placer: None,
+            };
+            self.send(index, all, message);
+            return;
+        }
+        let positions: Vec<usize> = (0..self.ids.len())
+            .filter(|other| *other != index)
+            .collect();
+        let peers: Vec<RouterId> = positions.iter().map(|at| self.ids[*at].clone()).collect();
+        let input = DigestInput {
+            own,
+            loads: &router.loads,
+            peers: &peers,
+            prefill_ms_per_token: &|_| 0.0,
+            always_announces: self.always_announces,
+        };
+        let tick = router.planner.tick(input, now);
+        router.next_at = tick.next_at;
+        for send in tick.sends {
+            let receivers = send.receivers.iter().map(|at| positions[*at]).collect();
+            self.send(index, receivers, send.message);
+        }
+    }
+
+    fn send(&mut self, from: usize, receivers: Vec<usize>, message: PeerMessage) {
+        let frame = PeerFrame {
+            version: PEER_VERSION,
+            sender: self.ids[from].clone(),
+            exchange: 0,
+            message,
+        };
+        let bytes = postcard::to_stdvec(&frame).expect("a frame").len() as u64;
+        let kind = kind_of(&frame.message);
+        for to in receivers {
+            let router = &mut self.routers[from];
+            router.sent += 1;
+            router.sent_bytes += bytes;
+            *router.kinds.entry(kind).or_default() += 1;
+            if self.cuts.contains(&(from, to)) {
+                continue;
+            }
+            self.serial += 1;
+            let key = (self.now + LATENCY, self.serial);
+            self.inbox
+                .insert(key, (from, to, frame.message.clone(), bytes));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let (_, (from, to, message, bytes)) = self.inbox.pop_first().expect("a frame");
+        let (sender, count, now) = (self.ids[from].clone(), self.ids.len(), self.now);
+        let router = &mut self.routers[to];
+        if !router.is_up {
+            return;
+        }
+        router.received += 1;
+        router.received_bytes += bytes;
+        if router.role == RouterRole::Older {
+            if let PeerMessage::Loads { loads, .. } = message {
+                let lifetime = Duration::from_millis(3 * (50 + 5 * count as u64));
+                let valid_until = now + lifetime.max(Duration::from_millis(600));
+                router.loads.observe_peer(sender, loads, now, valid_until);
+            }
+            return;
+        }
+        let planner = &mut router.planner;
+        let answer = planner.receive(&sender, message, &mut router.loads, count, now);
+        if let Some(answer) = answer {
+            self.send(to, vec![from], answer);
+        }
+    }
+}
+
+impl SimRouter {
+    fn new(id: RouterId, role: RouterRole, index: usize, next_at: Instant) -> Self {
+        let is_member = role == RouterRole::Member;
+        let cpu = if is_member { MEMBER_CPU } else { HUB_CPU };
+        Self {
+            planner: DigestPlanner::new(id.clone(), zone_of(index).into(), cpu, is_member),
+            id,
+            role,
+            loads: LoadTable::default(),
+            is_up: true,
+            next_at,
+            sent_bytes: 0,
+            received_bytes: 0,
+            sent: 0,
+            received: 0,
+            kinds: BTreeMap::new(),
+        }
+    }
+
+    fn own_digest(&self) -> PeerDigest {
+        let is_member = self.role == RouterRole::Member;
+        let cpu = if is_member { MEMBER_CPU } else { HUB_CPU };
+        let own = self.loads.own();
+        PeerDigest {
+            least_cpu_millicores: cpu,
+            most_cpu_millicores: cpu,
+            loads: own.map(|(id, load)| (id.clone(), *load)).collect(),
+            ..PeerDigest::default()
+        }
+    }
+}
+
+pub fn own_endpoint(index: usize) -> EndpointId {
+    EndpointId::from(format!("e{index:03}"))
+}
+
+fn kind_of(message: &PeerMessage) -> &'static str {
+    match message {
+        PeerMessage::Loads { .. } => "loads",
+        PeerMessage::HubQuery => "query",
+        PeerMessage::HubInfo { .. } => "info",
+        PeerMessage::MemberDigest(_) => "member",
+        PeerMessage::FleetDigest(_) => "fleet",
+        _ => "other",
+    }
+}
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod choice_sim;
 pub mod claim_sim;
+pub mod digest_sim;
 pub mod fleet_files;
 pub mod limit_sim;
 pub mod poison_sim;
--- a/node/src/peer/peer_socket.rs
+++ b/node/src/peer/peer_socket.rs
@@ -88,6 +88,27 @@
         self.send(peer, 0, message).await;
     }
 
+    /// Encodes a message without a response, to be sent to several peers; returns `None` if it
+    /// exceeds [`MAX_FRAME_BYTES`], because receivers would cut it off.
+    pub fn encode_one_way(&self, message: &PeerMessage) -> Option<Vec<u8>> {
+        let frame = PeerFrame {
+            version: PEER_VERSION,
+            sender: self.own_id.clone(),
+            exchange: 0,
+            message: message.clone(),
+        };
+        let bytes = postcard::to_stdvec(&frame).ok()?;
+        (bytes.len() <= MAX_FRAME_BYTES).then_some(bytes)
+    }
+
+    /// Sends a frame that [`Self::encode_one_way`] has returned.
+    pub async fn send_frame(&self, peer: SocketAddr, frame: &[u8]) {
+        // A failed send is treated like a lost datagram.
+        if let Ok(sent) = self.socket.send_to(frame, peer).await {
+            self.sent_bytes.fetch_add(sent as u64, Ordering::Relaxed);
+        }
+    }
+
     /// Receives frames forever and passes those that are no response to `handler`.
     pub async fn run(self: Arc<Self>, handler: Arc<dyn PeerHandler>) {
         let mut buffer = vec![0; MAX_FRAME_BYTES];
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -54,6 +54,8 @@
     Rest,
     /// An endpoint named a limit on the rate of its requests, changed it or named none again.
     Limit,
+    /// This router has chosen or lost the hub that sends it the digest of the fleet.
+    Hub,
 }
 
 impl LogKind {
