lib, gateway: order of waiting requests and refusals by expected wait

Cause: routers share pools, and a router's own queue says little of the wait of a request. Requests waited at most half of their objective and were then refused, in the order of priority within one router only.

Without the mode nothing changes.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -306,25 +306,29 @@
         .map(|at| at.elapsed().as_millis() as u64);
     let targets = view.targets.pool(&request.pool);
     let avoided = core.count_avoided(targets);
-    core.log.write(
-        kind,
-        json!({
-            "request": request.id,
-            "route": request.route.name,
-            "team": request.team,
-            "status": answer.status.as_u16(),
-            "outcome": outcome,
-            "reason": answer.reason,
-            "runs": runs,
-            "total_ms": request.age_ms(),
-            "fingerprint": request.fingerprint,
-            "prompt_parts": request.head.shared_prompt_parts[..],
-            "config": request.config_version,
-            "registry": view.registry_version,
-            "registry_age_ms": registry_age,
-            "targets": targets.len(),
-            "avoided": avoided,
-            "waiting": core.queue.len(),
-        }),
-    );
+    let mut line = json!({
+        "request": request.id,
+        "route": request.route.name,
+        "team": request.team,
+        "status": answer.status.as_u16(),
+        "outcome": outcome,
+        "reason": answer.reason,
+        "runs": runs,
+        "total_ms": request.age_ms(),
+        "fingerprint": request.fingerprint,
+        "prompt_parts": request.head.shared_prompt_parts[..],
+        "config": request.config_version,
+        "registry": view.registry_version,
+        "registry_age_ms": registry_age,
+        "targets": targets.len(),
+        "avoided": avoided,
+        "waiting": core.queue.len(),
+    });
+    if let Some(wait) = answer.expected_wait {
+        let until_room = wait.room_at.saturating_duration_since(Instant::now());
+        line["expected_wait_ms"] = json!(until_room.as_millis() as u64);
+        line["ahead"] = json!(wait.ahead);
+        line["finished_per_s"] = json!(wait.finished_per_second);
+    }
+    core.log.write(kind, line);
 }
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -10,6 +10,8 @@
 use hyper::Method;
 use hyper::StatusCode;
 use hyper::Uri;
+use jujuberoad::admission::overload;
+use jujuberoad::admission::overload::WaitingRequest;
 use jujuberoad::fleet::PoolKey;
 use jujuberoad::ids::Fingerprint;
 use jujuberoad::ids::Milliseconds;
@@ -92,7 +94,29 @@
         let priority = 2 * self.priority + u32::from(is_late);
         let queue_deadline = self.deadline.min(self.received_at + wait);
         let prompt_tokens = self.head.prompt_tokens;
-        TargetQuery::new(self.pool.clone(), priority, prompt_tokens, queue_deadline)
+        let pool = self.pool.clone();
+        if !core.handles_overload() {
+            return TargetQuery::new(pool, priority, prompt_tokens, queue_deadline);
+        }
+        let waiting = self.waiting_request(core);
+        TargetQuery::new(pool, priority, prompt_tokens, waiting.give_up_at).with_order(waiting)
+    }
+
+    /// Returns the place of the request in the order for overloaded fleets.
+    fn waiting_request(&self, core: &GatewayCore) -> WaitingRequest {
+        let objective_ms = self.route.objective_ms;
+        let latency = core.first_events.lock().expect("first event lock");
+        let latency = latency.usual_latency(&self.pool, objective_ms);
+        let left_ms = objective_ms.saturating_sub(self.age_at_arrival_ms);
+        let on_time_by = self.received_at + Duration::from_millis(left_ms);
+        let before = |end: Instant| end.checked_sub(latency).unwrap_or(end);
+        WaitingRequest {
+            priority: self.priority,
+            team: self.team.clone(),
+            late_at: before(on_time_by).max(self.received_at),
+            give_up_at: before(self.deadline),
+            is_returning: self.age_at_arrival_ms > 0,
+        }
     }
 
     /// Returns the number of attempts that the route allows after `runs` ones that may have
@@ -203,11 +227,17 @@
         let pool = &self.pool;
         let retry_at = match reason {
             ReserveError::Resting(until) => until,
+            ReserveError::Overloaded(estimate) => {
+                overload::retry_at(estimate, self.deadline, fastrand::f64(), Instant::now())
+            }
             _ => self.pick_retry_at(),
         };
-        let reason = format!("no endpoint of service {:?}: {reason}", pool.service);
-        let reply =
-            LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).with_retry_at(retry_at);
+        let message = format!("no endpoint of service {:?}: {reason}", pool.service);
+        let mut reply =
+            LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, message).with_retry_at(retry_at);
+        if let ReserveError::Overloaded(estimate) = reason {
+            reply.expected_wait = estimate;
+        }
         if self.relay_head.is_some() && core.misses_most(pool) {
             return reply.for_other_router();
         }
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -33,6 +33,7 @@
 use jujuberoad::ids::ModelId;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
+use jujuberoad::peer::PoolWaiting;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -49,6 +50,7 @@
 use crate::overload_mode::OverloadMode;
 use crate::peer_exchange::PendingRelay;
 use crate::poison_guard::PoisonGuard;
+use crate::pool_board::PoolBoard;
 use crate::slot_queue::SlotQueue;
 use crate::stall_monitor::StallMonitor;
 use crate::stop_plan::StopPlan;
@@ -104,6 +106,8 @@
     pub(crate) stalls: StallMonitor,
     pub(crate) poison: PoisonGuard,
     pub(crate) queue: SlotQueue,
+    /// Waiting, running and ended requests by pool, priority and team.
+    pub(crate) pool_activity: PoolBoard,
     pub(crate) session: StoreSession,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: GatewayMetrics,
@@ -353,6 +357,12 @@
         }
     }
 
+    /// Returns what peers report of their waiting and running requests; empty while digests
+    /// carry none, so that this router decides from its own counts.
+    pub(crate) fn fleet_waiting(&self, _now: Instant) -> Vec<PoolWaiting> {
+        Vec::new()
+    }
+
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -47,6 +47,7 @@
 use crate::placer_loop;
 use crate::poison_guard;
 use crate::poison_guard::PoisonGuard;
+use crate::pool_board::PoolBoard;
 use crate::readiness_api::ReadinessApi;
 use crate::registry_sink::RegistrySink;
 use crate::relay_api::RelayApi;
@@ -211,6 +212,7 @@
         stalls: StallMonitor::default(),
         poison: PoisonGuard::default(),
         queue: SlotQueue::default(),
+        pool_activity: PoolBoard::default(),
         session: StoreSession::default(),
         log,
         metrics: GatewayMetrics::default(),
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of the gateway and the HTTP handler that exposes them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use hyper::Request;
@@ -34,6 +36,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     call: String,
@@ -46,6 +53,7 @@
     ended_requests: Family<RequestLabels, Counter>,
     calls: Family<CallLabels, Counter>,
     pub(crate) refusals: Counter,
+    pub(crate) overload_refusals: Counter,
     pub(crate) retries: Counter,
     pub(crate) resumes: Counter,
     pub(crate) probes: Counter,
@@ -63,6 +71,7 @@
     total_ms: Histogram,
     pub(crate) models_without_room: Gauge<i64, std::sync::atomic::AtomicI64>,
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
+    waiting_on_time: Family<PriorityLabels, Gauge<i64, std::sync::atomic::AtomicI64>>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
     registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
 }
@@ -74,6 +83,7 @@
             ended_requests: Family::default(),
             calls: Family::default(),
             refusals: Counter::<u64, AtomicU64>::default(),
+            overload_refusals: Counter::default(),
             retries: Counter::default(),
             resumes: Counter::default(),
             probes: Counter::default(),
@@ -91,6 +101,7 @@
             total_ms: Histogram::new(LATENCY_BOUNDS),
             models_without_room: Gauge::default(),
             waiting: Gauge::default(),
+            waiting_on_time: Family::default(),
             serving_targets: Gauge::default(),
             registry_age_ms: Gauge::default(),
             registry: Registry::default(),
@@ -184,6 +195,16 @@
             "Requests that wait for a slot",
             metrics.waiting.clone(),
         );
+        registry.register(
+            "waiting_on_time",
+            "Requests that wait for a slot and can still be on time, by priority",
+            metrics.waiting_on_time.clone(),
+        );
+        registry.register(
+            "overload_refusals",
+            "Requests refused because of their expected wait",
+            metrics.overload_refusals.clone(),
+        );
         let targets = metrics.serving_targets.clone();
         registry.register("serving_targets", "Targets that take requests", targets);
         let age = metrics.registry_age_ms.clone();
@@ -210,6 +231,16 @@
         self.total_ms.observe(total_ms as f64);
     }
 
+    /// Replaces the numbers of waiting requests that can still be on time.
+    fn record_waiting(&self, by_priority: BTreeMap<u32, u32>) {
+        self.waiting_on_time.clear();
+        for (priority, waiting) in by_priority {
+            let labels = PriorityLabels { priority };
+            let gauge = self.waiting_on_time.get_or_create(&labels);
+            gauge.set(i64::from(waiting));
+        }
+    }
+
     /// Counts a call to the platform or to an engine.
     pub(crate) fn record_call(&self, call: &str, result: &str) {
         let labels = CallLabels {
@@ -237,6 +268,7 @@
         let metrics = &self.core.metrics;
         let view = self.core.fleet.view();
         metrics.waiting.set(self.core.queue.len() as i64);
+        metrics.record_waiting(self.core.pool_activity.waiting_by_priority(Instant::now()));
         metrics
             .serving_targets
             .set(view.targets.iter().count() as i64);
--- a/gateway/src/local_reply.rs
+++ b/gateway/src/local_reply.rs
@@ -5,6 +5,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use jujuberoad::admission::overload::WaitEstimate;
 use jujuberoad::outcome::Outcome;
 use jujuberoad_node::http::ReplyBody;
 use jujuberoad_node::http::full_body;
@@ -24,6 +25,8 @@
     pub(crate) reason: String,
     /// When the caller may retry.
     pub(crate) retry_at: Option<Instant>,
+    /// The wait for which the request was refused, if that was the reason.
+    pub(crate) expected_wait: Option<WaitEstimate>,
     /// Whether another router may be able to serve the request.
     is_for_other_router: bool,
 }
@@ -36,6 +39,7 @@
             outcome: Outcome::NotRun,
             reason: reason.into(),
             retry_at: None,
+            expected_wait: None,
             is_for_other_router: false,
         }
     }
@@ -47,6 +51,7 @@
             outcome: Outcome::Unknown,
             reason: reason.into(),
             retry_at: None,
+            expected_wait: None,
             is_for_other_router: false,
         }
     }
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -6,6 +6,9 @@
 use std::time::Instant;
 
 use futures_lite::FutureExt;
+use jujuberoad::admission::overload::PoolClass;
+use jujuberoad::admission::overload::WaitEstimate;
+use jujuberoad::admission::overload::WaitingRequest;
 use jujuberoad::fleet::LimitTable;
 use jujuberoad::fleet::PoolKey;
 use jujuberoad::fleet::RateLimits;
@@ -15,10 +18,13 @@
 
 use crate::call_deadline::timeout_at;
 use crate::gateway_core::GatewayCore;
+use crate::ordered_reserve;
+use crate::ordered_reserve::count_running;
+use crate::pool_board::RunningCount;
 
 /// Interval at which a queued request checks for a slot without a wakeup, because load
 /// digests from peers do not trigger one.
-const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(40);
+pub(crate) const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Criteria by which a target is selected.
 #[derive(Clone, Debug)]
@@ -34,6 +40,8 @@
     tried_addresses: Vec<SocketAddr>,
     /// Whether this resumes a stream, which precedes requests that have not started.
     pub(crate) is_resumed: bool,
+    /// Place of the request in the order for overloaded fleets, if that is in force.
+    pub(crate) waiting: Option<WaitingRequest>,
 }
 
 impl TargetQuery {
@@ -52,6 +60,23 @@
             tried: Vec::new(),
             tried_addresses: Vec::new(),
             is_resumed: false,
+            waiting: None,
+        }
+    }
+
+    /// Lets the request wait in the order for overloaded fleets.
+    pub(crate) fn with_order(mut self, waiting: WaitingRequest) -> Self {
+        self.waiting = Some(waiting);
+        self
+    }
+
+    /// Returns the requests that this one is counted with.
+    pub(crate) fn pool_class(&self) -> PoolClass {
+        let waiting = self.waiting.as_ref();
+        PoolClass {
+            pool: self.pool.clone(),
+            priority: waiting.map_or(self.priority, |waiting| waiting.priority),
+            team: waiting.and_then(|waiting| waiting.team.clone()),
         }
     }
 
@@ -74,6 +99,8 @@
     QueueFull,
     /// No slot became free in time.
     NoSlotInTime,
+    /// The expected wait is longer than the request can wait.
+    Overloaded(Option<WaitEstimate>),
     /// Every endpoint limits its rate, and this router's shares are used up for too long.
     RateLimited,
     /// Every endpoint wants a rest from this router; the first rest ends then.
@@ -88,6 +115,8 @@
     /// may be repeated on its connection, and names the request as well.
     pub(crate) is_same_address: bool,
     pending_prefill_tokens: u32,
+    /// Counts the request as running while the decisions for overloaded fleets are in force.
+    running: Option<RunningCount>,
 }
 
 impl ReservedTarget {
@@ -95,6 +124,21 @@
     pub(crate) async fn reserve(
         core: &Arc<GatewayCore>,
         query: &TargetQuery,
+    ) -> Result<Self, ReserveError> {
+        let mut reserved = match &query.waiting {
+            Some(request) if !query.is_resumed => {
+                ordered_reserve::reserve(core, query, request).await?
+            }
+            _ => Self::reserve_by_priority(core, query).await?,
+        };
+        reserved.running = count_running(core, query);
+        Ok(reserved)
+    }
+
+    /// Reserves the best target; requests wait in the order of their priority.
+    async fn reserve_by_priority(
+        core: &Arc<GatewayCore>,
+        query: &TargetQuery,
     ) -> Result<Self, ReserveError> {
         let ahead = core.queue.count_ahead(&query.pool, query.priority);
         if (ahead == 0 || query.is_resumed)
@@ -102,33 +146,12 @@
         {
             return Ok(reserved);
         }
-        let view = core.fleet.view();
-        let targets = view.targets.pool(&query.pool);
-        let serving = targets.len();
-        if serving == 0 {
-            return Err(ReserveError::NoneServes);
-        }
-        if targets
-            .iter()
-            .all(|target| query.tried.contains(&target.endpoint))
-        {
-            return Err(ReserveError::AllTried);
-        }
-        if let Some(rest_end) = Self::first_rest_end(core, query, targets)
-            && rest_end > query.queue_deadline
-        {
-            return Err(ReserveError::Resting(rest_end));
-        }
+        let serving = Self::check_targets(core, query)?;
         // Each target is expected to free at most one slot within the maximum wait.
         if !query.is_resumed && ahead > serving {
             return Err(ReserveError::QueueFull);
         }
-        // Peers may lift a limit or leave the list meanwhile, but that is not to be expected.
-        let room_at = Self::next_room_at(core, query, targets);
-        let latest_room_at = query.queue_deadline.max(Instant::now());
-        if room_at.is_none_or(|at| at > latest_room_at) {
-            return Err(ReserveError::RateLimited);
-        }
+        Self::check_room(core, query)?;
         let priority = if query.is_resumed {
             0
         } else {
@@ -150,6 +173,43 @@
         }
     }
 
+    /// Returns the number of targets, or an error if none of them takes the request in time.
+    pub(crate) fn check_targets(
+        core: &GatewayCore,
+        query: &TargetQuery,
+    ) -> Result<usize, ReserveError> {
+        let view = core.fleet.view();
+        let targets = view.targets.pool(&query.pool);
+        if targets.is_empty() {
+            return Err(ReserveError::NoneServes);
+        }
+        if targets
+            .iter()
+            .all(|target| query.tried.contains(&target.endpoint))
+        {
+            return Err(ReserveError::AllTried);
+        }
+        if let Some(rest_end) = Self::first_rest_end(core, query, targets)
+            && rest_end > query.queue_deadline
+        {
+            return Err(ReserveError::Resting(rest_end));
+        }
+        Ok(targets.len())
+    }
+
+    /// Returns an error if the rate of every target is used up for too long.
+    pub(crate) fn check_room(core: &GatewayCore, query: &TargetQuery) -> Result<(), ReserveError> {
+        let view = core.fleet.view();
+        let targets = view.targets.pool(&query.pool);
+        // Peers may lift a limit or leave the list meanwhile, but that is not to be expected.
+        let room_at = Self::next_room_at(core, query, targets);
+        let latest_room_at = query.queue_deadline.max(Instant::now());
+        if room_at.is_none_or(|at| at > latest_room_at) {
+            return Err(ReserveError::RateLimited);
+        }
+        Ok(())
+    }
+
     /// Returns when the first rest ends if all targets that the request may be sent to want one.
     fn first_rest_end(
         core: &GatewayCore,
@@ -199,7 +259,7 @@
         rooms.min()
     }
 
-    fn try_reserve(core: &Arc<GatewayCore>, query: &TargetQuery) -> Option<Self> {
+    pub(crate) fn try_reserve(core: &Arc<GatewayCore>, query: &TargetQuery) -> Option<Self> {
         let view = core.fleet.view();
         let targets = view.targets.pool(&query.pool);
         let avoid_list = core.avoided().clone();
@@ -237,6 +297,7 @@
             is_same_address: query.tried_addresses.contains(&target.address),
             target,
             pending_prefill_tokens: query.prompt_tokens,
+            running: None,
         })
     }
 
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -6,6 +6,7 @@
 mod fair_queue;
 mod fifo_queue;
 mod first_event_latency;
+pub mod overload;
 mod queue_error;
 mod queue_ticket;
 mod request_class;
--- a/lib/src/fleet/target_table.rs
+++ b/lib/src/fleet/target_table.rs
@@ -16,7 +16,7 @@
 use crate::serving::ServingConfig;
 
 /// Identifies the pool of targets that can serve a request.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PoolKey {
     /// Service that the request is for.
     pub service: ServiceId,
