gateway: requests that wait at peers count in admission

Cause: the order of waiting requests and the digests were built apart. Change: digests carry what waits and runs at a router while the decisions for overloaded fleets are in force, and admission reads the sum over peers.

--- a/gateway/src/digest_exchange.rs
+++ b/gateway/src/digest_exchange.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
@@ -29,9 +28,6 @@
 use crate::gateway_core::GatewayCore;
 use crate::gateway_settings::GatewaySettings;
 
-/// Returns what waits at this router and what is in progress there.
-pub(crate) type WaitingSource = Box<dyn Fn() -> Vec<PoolWaiting> + Send + Sync>;
-
 /// Exchange of digests with peers.
 ///
 /// Other modules give it what this router has to report and take what others have reported:
@@ -39,15 +35,12 @@
 /// - [`Self::record_outcome`] adds an answer of an endpoint. It is passed on once to each receiver.
 /// - [`Self::take_outcomes`] returns the answers that other routers have reported. Those of this
 ///   router are not among them.
-/// - [`Self::set_waiting_source`] names the function that returns what waits at this router; it is
-///   called once for each digest and must not block.
 /// - [`Self::fleet_waiting`] returns what waits at all other routers.
 ///
 /// In a fleet that exchanges `Loads` only, [`Self::take_outcomes`] and [`Self::fleet_waiting`]
 /// return nothing.
 pub(crate) struct DigestExchange {
     planner: Mutex<DigestPlanner>,
-    waiting_source: OnceLock<WaitingSource>,
 }
 
 impl DigestExchange {
@@ -58,7 +51,6 @@
         let is_member = cpu < settings.member_below_millicores;
         Self {
             planner: Mutex::new(DigestPlanner::new(id, zone, cpu, is_member)),
-            waiting_source: OnceLock::new(),
         }
     }
 
@@ -74,15 +66,8 @@
         self.planner().sum_mut().take_outcomes()
     }
 
-    /// Sets the function that returns what waits at this router; the first one stays.
-    #[allow(dead_code, reason = "for the modules that decide who waits")]
-    pub(crate) fn set_waiting_source(&self, source: WaitingSource) {
-        self.waiting_source.get_or_init(|| source);
-    }
-
     /// Returns what waits at all other routers as their digests of the last 600 ms report it, by
     /// pool, priority and team.
-    #[allow(dead_code, reason = "for the modules that decide who waits")]
     pub(crate) fn fleet_waiting(&self, now: Instant) -> Vec<PoolWaiting> {
         self.planner().sum().fleet_waiting(now)
     }
@@ -161,18 +146,22 @@
     };
     let era = core.backends.store.eras().newest();
     let cpu = core.settings.cpu_millicores;
-    let waiting = core.digests.waiting_source.get();
+    let handles_overload = core.handles_overload();
+    let now = Instant::now();
+    let waiting = if handles_overload {
+        core.pool_activity.own_waiting(now)
+    } else {
+        Vec::new()
+    };
     let mut own = PeerDigest {
         least_cpu_millicores: cpu,
         most_cpu_millicores: cpu,
         loads: Vec::new(),
         placer: core.session.announced_fence(era),
-        waiting: waiting.map(|source| source()).unwrap_or_default(),
+        waiting,
         outcomes: Vec::new(),
         operator_version: None,
     };
-    let always_announces = core.handles_overload();
-    let now = Instant::now();
     let mut planner = core.digests.planner();
     let mut loads = core.loads.lock().expect("load lock");
     loads.expire(now);
@@ -182,7 +171,7 @@
         loads: &loads,
         peers: &peers,
         prefill_ms_per_token: &rate,
-        always_announces,
+        always_announces: handles_overload,
     };
     let tick = planner.tick(input, now);
     let is_uneven = planner.is_uneven(now);
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -360,10 +360,10 @@
         }
     }
 
-    /// Returns what peers report of their waiting and running requests; empty while digests
-    /// carry none, so that this router decides from its own counts.
-    pub(crate) fn fleet_waiting(&self, _now: Instant) -> Vec<PoolWaiting> {
-        Vec::new()
+    /// Returns what peers report of their waiting and running requests; empty without digests, so
+    /// that this router decides from its own counts.
+    pub(crate) fn fleet_waiting(&self, now: Instant) -> Vec<PoolWaiting> {
+        self.digests.fleet_waiting(now)
     }
 
     /// Returns whether the process is shutting down.
