gateway, node, lib: bounds for the memory that callers hold

Bodies were collected as lists of frames up to 4 MiB each, whatever else the process held, and a frame keeps the read buffer that it comes from. A crowd of callers made the process end for lack of memory.

BodyBudget decides which bodies hold memory: a body reserves it as its bytes arrive; a body without room takes that of the arriving body that has gone longest without progress (500 ms or more), or is refused with 503, not run, and its connection is closed. Small bodies and answers have parts of their own. Bodies are copied into segments of 64 KiB, which leave no gaps in the heap, and joined once they are whole; the reservation is freed with the last copy of the bytes. Announced lengths over the limit are refused before reading. At most 64 rests of refused bodies are read at the same time. ConnectionTable closes the connection without progress for longest, idle ones first, at the bound of open connections; one whose request was passed on is kept. Answers that are read as a whole count in the same budget and wait where there is no room.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -158,7 +158,8 @@
             RelayEnd::Answered(relayed) => {
                 let (parts, body) = relayed.response.into_parts();
                 let deadline = self.request.deadline;
-                match read_whole(body, MAX_ANSWER_BYTES, relayed.address, deadline).await {
+                let memory = &self.core.caller_memory.bodies;
+                match read_whole(memory, body, MAX_ANSWER_BYTES, relayed.address, deadline).await {
                     Ok(body) => {
                         self.runs += attempts;
                         let response = Response::from_parts(parts, full_body(body));
@@ -205,7 +206,14 @@
             return AttemptEnd::NotRun(error);
         }
         let (parts, body) = answer.response.into_parts();
-        let read = read_whole(body, MAX_ANSWER_BYTES, address, self.request.deadline);
+        let memory = &self.core.caller_memory.bodies;
+        let read = read_whole(
+            memory,
+            body,
+            MAX_ANSWER_BYTES,
+            address,
+            self.request.deadline,
+        );
         let body = match read.await {
             Ok(body) => body,
             Err(error) => {
--- a/gateway/src/caller_api.rs
+++ b/gateway/src/caller_api.rs
@@ -19,6 +19,7 @@
 use jujuberoad::serving::RouteKind;
 use jujuberoad::serving::ServingConfig;
 use jujuberoad_node::backends::CallerHead;
+use jujuberoad_node::http::ConnectionMark;
 use jujuberoad_node::http::HttpHandler;
 use jujuberoad_node::http::ReplyBody;
 use jujuberoad_node::http::full_body;
@@ -96,7 +97,13 @@
             }
             None => 0,
         };
-        let body = body.read(&config.limits, deadline).await?;
+        let memory = &self.core.caller_memory;
+        let body = body.read(memory, &config.limits, deadline).await;
+        let body = body.map_err(|reply| match (reply.status, &relay_head) {
+            // Another router may have room for the body.
+            (StatusCode::SERVICE_UNAVAILABLE, Some(_)) => reply.for_other_router(),
+            _ => reply,
+        })?;
         if !self.core.may_begin(deadline) {
             let reason = "this router is stopping and exits before the request's deadline";
             let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
@@ -188,15 +195,24 @@
         let id = head.request_id.clone().unwrap_or_else(new_request_id);
         let path = SmolStr::from(request.uri().path());
         let (parts, body) = request.into_parts();
+        let mark = parts.extensions.get::<Arc<ConnectionMark>>().cloned();
         let mut body = RequestBody::new(body, &parts.headers);
         let mut is_reusable = true;
         let mut response = match self
             .admit(parts, &mut body, head, id.clone(), relay_head)
             .await
         {
-            Ok(request) => self.serve(request).await,
+            Ok(request) if mark.is_none_or(|mark| mark.record_forwarded()) => {
+                self.serve(request).await
+            }
+            Ok(request) => {
+                is_reusable = false;
+                let reason = "too many connections are open";
+                let reply = LocalReply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+                self.refuse(reply, &request.id, &path)
+            }
             Err(answer) => {
-                is_reusable = body.discard();
+                is_reusable = body.discard(&self.core.caller_memory);
                 self.refuse(answer, &id, &path)
             }
         };
--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -137,14 +137,9 @@
         self.received_at.elapsed().as_millis() as u64
     }
 
-    /// Returns when a caller that is refused now should retry: early enough for its
-    /// timeout, with jitter so that callers do not retry at the same moment.
+    /// Returns when a caller that is refused now should retry.
     pub(crate) fn pick_retry_at(&self) -> Instant {
-        let now = Instant::now();
-        let left = self.deadline.saturating_duration_since(now);
-        let longest = left.mul_f64(RETRY_AFTER_SHARE).min(RETRY_AFTER_RANGE.1);
-        let shortest = RETRY_AFTER_RANGE.0.min(longest);
-        now + shortest + (longest - shortest).mul_f64(fastrand::f64())
+        pick_retry_at(self.deadline)
     }
 
     /// Returns the reply to a request whose last attempt was not executed, after `runs`
@@ -215,6 +210,16 @@
     }
 }
 
+/// Returns when a caller that is refused now should retry: early enough for its `deadline`,
+/// with jitter so that callers do not retry at the same moment.
+pub(crate) fn pick_retry_at(deadline: Instant) -> Instant {
+    let now = Instant::now();
+    let left = deadline.saturating_duration_since(now);
+    let longest = left.mul_f64(RETRY_AFTER_SHARE).min(RETRY_AFTER_RANGE.1);
+    let shortest = RETRY_AFTER_RANGE.0.min(longest);
+    now + shortest + (longest - shortest).mul_f64(fastrand::f64())
+}
+
 /// Returns when a caller should retry while this router has no configuration. The delay
 /// is not capped by [`RETRY_AFTER_RANGE`], because a store outage lasts for seconds.
 pub(crate) fn retry_at_unconfigured(caller_timeout: Duration) -> Instant {
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -41,6 +41,7 @@
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 
+use crate::caller_memory::CallerMemory;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
 use crate::gateway_metrics::GatewayMetrics;
@@ -104,6 +105,8 @@
     pub(crate) stalls: StallMonitor,
     pub(crate) poison: PoisonGuard,
     pub(crate) queue: SlotQueue,
+    /// What callers may make the process hold.
+    pub(crate) caller_memory: CallerMemory,
     pub(crate) session: StoreSession,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: GatewayMetrics,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -30,6 +30,7 @@
 use smol::net::TcpListener;
 
 use crate::caller_api::CallerApi;
+use crate::caller_memory::CallerMemory;
 use crate::era_watch;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
@@ -113,7 +114,9 @@
     let api = CallerApi::new(Arc::clone(&core));
     let relay_api: Arc<dyn HttpHandler> = RelayApi::new(Arc::clone(&core), Arc::clone(&api));
     let relay_server = HttpServer::new(relays, relay_api).with_limits(CALLER_LIMITS);
-    let server = HttpServer::new(callers, api).with_limits(CALLER_LIMITS);
+    let server = HttpServer::new(callers, api)
+        .with_limits(CALLER_LIMITS)
+        .with_bound(Arc::clone(&core.caller_memory.connections));
     let open = [server.open_connections(), relay_server.open_connections()];
     let count_open = || -> usize { open.iter().map(|open| open.load(Ordering::Relaxed)).sum() };
     runtime::spawn(server.run(stop_callers.clone()));
@@ -185,7 +188,9 @@
     );
     let quota_divider = QuotaDivider::new(settings.id.clone(), settings.retry_window_ms);
     let log = DecisionLog::new(settings.id.clone());
+    let caller_memory = CallerMemory::new(&settings);
     Arc::new(GatewayCore {
+        caller_memory,
         settings,
         backends,
         fleet: FleetCache::default(),
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
 use hyper::Request;
@@ -20,6 +21,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::caller_memory::CallerMemory;
 use crate::gateway_core::GatewayCore;
 
 /// Bucket bounds of the latency histograms in milliseconds, around the latency
@@ -65,6 +67,10 @@
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
     registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+    body_bytes: Gauge<i64, std::sync::atomic::AtomicI64>,
+    body_evictions: Counter,
+    connections_closed: Counter,
+    open_connections: Gauge<i64, std::sync::atomic::AtomicI64>,
 }
 
 impl Default for GatewayMetrics {
@@ -93,6 +99,10 @@
             waiting: Gauge::default(),
             serving_targets: Gauge::default(),
             registry_age_ms: Gauge::default(),
+            body_bytes: Gauge::default(),
+            body_evictions: Counter::default(),
+            connections_closed: Counter::default(),
+            open_connections: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -192,6 +202,7 @@
             "Time since the registry was confirmed",
             age,
         );
+        metrics.register_caller_memory(&mut registry);
         Self {
             registry,
             ..metrics
@@ -200,6 +211,40 @@
 }
 
 impl GatewayMetrics {
+    fn register_caller_memory(&self, registry: &mut Registry) {
+        registry.register(
+            "body_bytes",
+            "Memory that bodies of requests and answers have reserved",
+            self.body_bytes.clone(),
+        );
+        registry.register(
+            "body_evictions",
+            "Request bodies that lost their memory to others",
+            self.body_evictions.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Connections of callers closed because too many were open",
+            self.connections_closed.clone(),
+        );
+        let open = self.open_connections.clone();
+        registry.register("open_connections", "Open connections of callers", open);
+    }
+
+    fn observe_caller_memory(&self, memory: &CallerMemory) {
+        self.body_bytes.set(memory.bodies.used_bytes() as i64);
+        let evictions = memory.bodies.eviction_count();
+        self.body_evictions
+            .inner()
+            .store(evictions, Ordering::Relaxed);
+        let closed = memory.connections.closed_count();
+        self.connections_closed
+            .inner()
+            .store(closed, Ordering::Relaxed);
+        self.open_connections
+            .set(memory.connections.open_count() as i64);
+    }
+
     /// Counts a completed request and observes its total time.
     pub(crate) fn record_end(&self, route: &RouteSpec, outcome: &str, total_ms: u64) {
         let labels = RequestLabels {
@@ -236,6 +281,7 @@
     async fn handle(&self, _request: Request<Incoming>) -> Response<ReplyBody> {
         let metrics = &self.core.metrics;
         let view = self.core.fleet.view();
+        metrics.observe_caller_memory(&self.core.caller_memory);
         metrics.waiting.set(self.core.queue.len() as i64);
         metrics
             .serving_targets
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,11 +5,13 @@
 //! the traits of [`jujuberoad_node::backends`]; the decision logic is in
 //! [`jujuberoad`].
 
+mod body_memory;
 mod boot_clock;
 mod bounded_body;
 mod buffered_call;
 mod call_deadline;
 mod caller_api;
+mod caller_memory;
 mod caller_request;
 mod endpoint_call;
 mod endpoint_guard;
@@ -45,6 +47,7 @@
 mod router_sink;
 mod run_count;
 mod run_watch;
+mod segmented_buffer;
 mod silence_probe;
 mod silence_watch;
 mod slot_queue;
--- a/gateway/src/relay_stream.rs
+++ b/gateway/src/relay_stream.rs
@@ -1,11 +1,14 @@
 //! Opens a stream that comes through a peer.
 
+use std::sync::Arc;
+
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use jujuberoad_node::backends::CallError;
 use jujuberoad_node::backends::CallStep;
 use jujuberoad_node::http::full_body;
 
+use crate::body_memory::BodyMemory;
 use crate::bounded_body::read_whole;
 use crate::call_deadline::timeout_at;
 use crate::caller_request::CallerRequest;
@@ -21,6 +24,7 @@
 /// Waits for the first event of a stream that comes through a peer. A continuation has to be a
 /// stream whose events have ids, since the caller has received the ones before.
 pub(crate) async fn open(
+    memory: &Arc<BodyMemory>,
     request: &CallerRequest,
     relayed: RelayedResponse,
     is_continuation: bool,
@@ -33,7 +37,7 @@
     let deadline = request.deadline;
     if !response.status().is_success() {
         let (parts, body) = response.into_parts();
-        return match read_whole(body, MAX_FAILURE_BYTES, address, deadline).await {
+        return match read_whole(memory, body, MAX_FAILURE_BYTES, address, deadline).await {
             Ok(body) => {
                 let response = Response::from_parts(parts, full_body(body));
                 OpenEnd::Failure(Box::new(response))
--- a/gateway/src/state_log.rs
+++ b/gateway/src/state_log.rs
@@ -53,6 +53,7 @@
     let peers = loads.peer_count();
     drop(loads);
     let limited = core.limits.lock().expect("limit lock").len();
+    let memory = &core.caller_memory;
     let age = view
         .registry_confirmed_at
         .map(|at| at.elapsed().as_millis() as u64);
@@ -67,6 +68,10 @@
             "lost": core.avoided_endpoints().len(),
             "own_requests": own,
             "waiting": core.queue.len(),
+            "body_bytes": memory.bodies.used_bytes(),
+            "body_evictions": memory.bodies.eviction_count(),
+            "connections": memory.connections.open_count(),
+            "connections_closed": memory.connections.closed_count(),
             "limited": limited,
             "limited_sends": core.metrics.limited_sends.get(),
             "peers": peers,
--- a/gateway/src/stream_attempt.rs
+++ b/gateway/src/stream_attempt.rs
@@ -160,7 +160,14 @@
         response: Response<PooledBody>,
     ) -> AttemptEnd {
         let (parts, body) = response.into_parts();
-        let read = read_whole(body, MAX_FAILURE_BYTES, address, self.request.deadline);
+        let memory = &self.core.caller_memory.bodies;
+        let read = read_whole(
+            memory,
+            body,
+            MAX_FAILURE_BYTES,
+            address,
+            self.request.deadline,
+        );
         match read.await {
             Ok(body) => {
                 let response = Response::from_parts(parts, full_body(body));
--- a/gateway/src/stream_call.rs
+++ b/gateway/src/stream_call.rs
@@ -208,9 +208,15 @@
                 None
             }
             RelayEnd::Lost(error) => Some(OpenEnd::Refused(self.request.unknown_reply(&error))),
-            RelayEnd::Answered(relayed) => {
-                Some(relay_stream::open(&self.request, *relayed, self.has_begun).await)
-            }
+            RelayEnd::Answered(relayed) => Some(
+                relay_stream::open(
+                    &self.core.caller_memory.bodies,
+                    &self.request,
+                    *relayed,
+                    self.has_begun,
+                )
+                .await,
+            ),
         }
     }
 
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -1,7 +1,9 @@
-//! Admission control: request queues, rejection of requests, retry limits and
-//! circuit breaking.
+//! Admission control: request queues, rejection of requests, memory of callers, retry
+//! limits and circuit breaking.
 
+mod body_budget;
 mod circuit_breaker;
+mod connection_table;
 mod drain_rate;
 mod fair_queue;
 mod fifo_queue;
@@ -13,7 +15,13 @@
 mod retry_detector;
 mod wait_queue;
 
+pub use body_budget::BodyBudget;
+pub use body_budget::BodyVerdict;
+pub use body_budget::SMALL_BODY_BYTES;
 pub use circuit_breaker::CircuitBreaker;
+pub use connection_table::ConnectionPhase;
+pub use connection_table::ConnectionTable;
+pub use connection_table::ConnectionVerdict;
 pub use drain_rate::DrainRate;
 pub use fair_queue::FairQueue;
 pub use fifo_queue::FifoQueue;
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -46,3 +46,7 @@
 pub type RequestRate = u64;
 /// Duration in milliseconds.
 pub type Milliseconds = u64;
+/// Number of a request or answer body within a process.
+pub type BodyId = u64;
+/// Number of a caller's connection within a process.
+pub type ConnectionId = u64;
--- a/node/src/http/http_server.rs
+++ b/node/src/http/http_server.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -18,8 +19,11 @@
 use smol_hyper::rt::SmolTimer;
 use spdlog::debug;
 
+use super::ConnectionBound;
 use super::HttpHandler;
 use super::ServerLimits;
+use super::marked_body::mark_body;
+use super::marked_stream::MarkedStream;
 use super::set_liveness_options;
 use crate::runtime;
 use crate::runtime::StopSignal;
@@ -33,6 +37,15 @@
     handler: Arc<dyn HttpHandler>,
     open_connections: Arc<AtomicUsize>,
     limits: ServerLimits,
+    bound: Arc<ConnectionBound>,
+}
+
+/// Why a connection is not served on.
+enum ServeEnd {
+    /// It has ended by itself or has made room for another one.
+    Closed,
+    /// The server stops.
+    Stopped,
 }
 
 impl HttpServer {
@@ -43,6 +56,7 @@
             handler,
             open_connections: Arc::default(),
             limits: ServerLimits::default(),
+            bound: ConnectionBound::new(usize::MAX),
         }
     }
 
@@ -52,6 +66,12 @@
         self
     }
 
+    /// Sets the bound for open connections; by default there is none.
+    pub fn with_bound(mut self, bound: Arc<ConnectionBound>) -> Self {
+        self.bound = bound;
+        self
+    }
+
     /// Returns the counter of open connections.
     pub fn open_connections(&self) -> Arc<AtomicUsize> {
         Arc::clone(&self.open_connections)
@@ -68,7 +88,13 @@
             };
             match accepted.or(stopped).await {
                 None => return,
-                Some(Ok((stream, _))) => self.serve(stream, stop.clone()),
+                Some(Ok((stream, _))) => {
+                    self.serve(stream, stop.clone());
+                    // Connections that make room close their sockets before the next one comes.
+                    if self.bound.is_reached() {
+                        yield_now().await;
+                    }
+                }
                 Some(Err(_)) => {
                     smol::Timer::after(ACCEPT_RETRY_DELAY).await;
                 }
@@ -77,6 +103,10 @@
     }
 
     fn serve(&self, stream: TcpStream, stop: StopSignal) {
+        // Without room for it, the connection is closed.
+        let Some((mark, evicted)) = self.bound.open() else {
+            return;
+        };
         let handler = Arc::clone(&self.handler);
         let guard = ConnectionGuard::new(&self.open_connections);
         let limits = self.limits;
@@ -85,9 +115,15 @@
             if let Err(error) = set_liveness_options(&stream, limits.unacknowledged_ms) {
                 debug!("failed to set the socket options of an accepted connection: {error}");
             }
-            let service = service_fn(move |request: Request<Incoming>| {
-                let handler = Arc::clone(&handler);
-                async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            let stream = MarkedStream::new(stream, Arc::clone(&mark));
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                let (handler, mark) = (Arc::clone(&handler), Arc::clone(&mark));
+                async move {
+                    mark.begin_request();
+                    request.extensions_mut().insert(Arc::clone(&mark));
+                    let response = handler.handle(request).await;
+                    Ok::<_, Infallible>(response.map(|body| mark_body(body, mark)))
+                }
             });
             let connection = http1::Builder::new()
                 .timer(SmolTimer::new())
@@ -97,18 +133,24 @@
                 .serve_connection(FuturesIo::new(stream), service);
             let mut connection = pin!(connection);
             let ended = async {
-                let _ = connection.as_mut().await;
-                true
+                let served = async {
+                    let _ = connection.as_mut().await;
+                };
+                served.or(evicted.wait()).await;
+                ServeEnd::Closed
             };
             let stopped = async {
                 stop.wait().await;
-                false
+                ServeEnd::Stopped
             };
-            if ended.or(stopped).await {
-                return;
+            match ended.or(stopped).await {
+                ServeEnd::Closed => return,
+                ServeEnd::Stopped => connection.as_mut().graceful_shutdown(),
             }
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            let served = async {
+                let _ = connection.await;
+            };
+            served.or(evicted.wait()).await;
         });
     }
 }
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -1,18 +1,24 @@
 //! HTTP/1.1 server and pooled client.
 
+mod connection_bound;
 mod connection_headers;
+mod connection_mark;
 mod http_handler;
 mod http_pool;
 mod http_reply;
 mod http_server;
 mod interim_counter;
+mod marked_body;
+mod marked_stream;
 mod pooled_body;
 mod reply_body;
 mod server_limits;
 mod socket_options;
 mod yielding_stream;
 
+pub use connection_bound::ConnectionBound;
 pub use connection_headers::remove_connection_headers;
+pub use connection_mark::ConnectionMark;
 pub use http_handler::HttpHandler;
 pub use http_pool::HttpPool;
 pub use http_reply::HttpReply;
