--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -43,6 +43,7 @@
 use serde_json::json;
 
 use crate::digest_exchange::DigestExchange;
+use crate::caller_memory::CallerMemory;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
 use crate::gateway_metrics::GatewayMetrics;
@@ -111,6 +112,8 @@
     pub(crate) queue: SlotQueue,
     /// Waiting, running and ended requests by pool, priority and team.
     pub(crate) pool_activity: PoolBoard,
+    /// What callers may make the process hold.
+    pub(crate) caller_memory: CallerMemory,
     pub(crate) session: StoreSession,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: GatewayMetrics,
