lib, gateway: groups follow measured demand

A model whose demand grows for longer than a wave refuses requests while another one has slots to spare, because shares come from the configuration alone.

A model that uses over half of its slots and over twice as much as another one, for 6 s and on the mean of 15 s, gets a group of that one by the present conversion path, one group at a time. The other keeps room for twice its highest use of the last 30 s. Members that leave form the new groups at once, and the planned numbers of groups move with them, so that spares and repairs do not undo it.

replica_sim gets demand as an input; it stays off for other tests.

--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -40,6 +40,12 @@
     result: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ModelLabels {
+    service: String,
+    model: String,
+}
+
 /// All metrics of the process.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
@@ -62,6 +68,7 @@
     pub(crate) first_event_ms: Histogram,
     total_ms: Histogram,
     pub(crate) models_without_room: Gauge<i64, std::sync::atomic::AtomicI64>,
+    model_use: Family<ModelLabels, Gauge<f64, AtomicU64>>,
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
     registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
@@ -90,6 +97,7 @@
             first_event_ms: Histogram::new(LATENCY_BOUNDS),
             total_ms: Histogram::new(LATENCY_BOUNDS),
             models_without_room: Gauge::default(),
+            model_use: Family::default(),
             waiting: Gauge::default(),
             serving_targets: Gauge::default(),
             registry_age_ms: Gauge::default(),
@@ -179,6 +187,11 @@
             "Time to the end of a request",
             metrics.total_ms.clone(),
         );
+        registry.register(
+            "model_use",
+            "Requests of all routers relative to the slots, by model, as the placer sees them",
+            metrics.model_use.clone(),
+        );
         registry.register(
             "waiting",
             "Requests that wait for a slot",
@@ -210,6 +223,20 @@
         self.total_ms.observe(total_ms as f64);
     }
 
+    /// Sets the use of a model's slots.
+    pub(crate) fn record_model_use(&self, service: &str, model: &str, used: f64) {
+        let labels = ModelLabels {
+            service: service.to_owned(),
+            model: model.to_owned(),
+        };
+        self.model_use.get_or_create(&labels).set(used);
+    }
+
+    /// Removes the use of all models, which only the placer measures.
+    pub(crate) fn clear_model_use(&self) {
+        self.model_use.clear();
+    }
+
     /// Counts a call to the platform or to an engine.
     pub(crate) fn record_call(&self, call: &str, result: &str) {
         let labels = CallLabels {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_deadline;
 mod caller_api;
 mod caller_request;
+mod demand_sampler;
 mod endpoint_call;
 mod endpoint_guard;
 mod era_watch;
--- a/gateway/src/placer_loop.rs
+++ b/gateway/src/placer_loop.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 use smol::Timer;
 
+use crate::demand_sampler::DemandSampler;
 use crate::gateway_core::GatewayCore;
 use crate::silence_probe;
 
@@ -34,6 +35,7 @@
 pub(crate) fn start(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
         let mut term: Option<(Fence, SharedPlanner)> = None;
+        let mut sampler = DemandSampler::default();
         loop {
             Timer::after(PLAN_INTERVAL).await;
             let current = core.order_fence();
@@ -41,6 +43,7 @@
             let Some(fence) = current else {
                 core.is_forming_groups.store(false, Ordering::Relaxed);
                 if was_active {
+                    sampler.clear(&core);
                     core.log.write(LogKind::Lease, json!({"placer": false}));
                 }
                 continue;
@@ -56,12 +59,17 @@
                 continue;
             };
             silence_probe::probe_silent(&core);
-            plan_once(&core, *fence, planner);
+            plan_once(&core, *fence, planner, &mut sampler);
         }
     });
 }
 
-fn plan_once(core: &Arc<GatewayCore>, fence: Fence, planner: &SharedPlanner) {
+fn plan_once(
+    core: &Arc<GatewayCore>,
+    fence: Fence,
+    planner: &SharedPlanner,
+    sampler: &mut DemandSampler,
+) {
     let view = core.fleet.view();
     let Some(config) = &view.config else {
         return;
@@ -74,6 +82,8 @@
     let silent = core.silent_endpoints();
     let table = core.fleet.table();
     let has_traffic = !core.settings.is_first_start || core.has_traffic.load(Ordering::Relaxed);
+    let now = Instant::now();
+    let demand = sampler.sample(core, config, &unreachable, now);
     let input = PlannerInput {
         table: &table,
         groups: &view.groups,
@@ -81,12 +91,14 @@
         unreachable: &unreachable,
         silent: &silent,
         has_traffic,
-        now: Instant::now(),
+        demand,
+        now,
     };
     let orders = {
         let mut planner = planner.lock().expect("planner lock");
         let orders = planner.plan(&input);
         report_models_without_room(core, &planner);
+        report_conversions(core, &mut planner);
         core.is_forming_groups
             .store(planner.has_pending_changes(), Ordering::Relaxed);
         orders
@@ -118,6 +130,21 @@
     *known = models;
 }
 
+/// Logs the steps of conversions that follow demand.
+fn report_conversions(core: &GatewayCore, planner: &mut ReplicaPlanner) {
+    for note in planner.take_demand_notes() {
+        core.log.write(
+            LogKind::Demand,
+            json!({
+                "step": note.step.to_string(),
+                "group": note.group.to_string(),
+                "from": note.donor,
+                "to": note.short,
+            }),
+        );
+    }
+}
+
 async fn give_order(
     core: &GatewayCore,
     fence: Fence,
--- a/lab/src/measure/planner_bench.rs
+++ b/lab/src/measure/planner_bench.rs
@@ -113,6 +113,7 @@
                 unreachable: &BTreeSet::new(),
                 silent: &BTreeSet::new(),
                 has_traffic: self.has_traffic,
+                demand: None,
                 now: self.now,
             };
             let begun = Instant::now();
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod avoid_list;
 mod delta_step;
+mod demand;
 mod endpoint_record;
 mod endpoint_state;
 mod endpoint_table;
@@ -48,6 +49,12 @@
 
 pub use avoid_list::AvoidList;
 pub use delta_step::DeltaStep;
+pub use demand::ConversionNote;
+pub use demand::ConversionStep;
+pub use demand::DemandMonitor;
+pub use demand::ModelShortage;
+pub use demand::PoolDemand;
+pub use demand::PoolSample;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
--- a/lib/src/fleet/planner_input.rs
+++ b/lib/src/fleet/planner_input.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+use super::DemandMonitor;
 use super::EndpointTable;
 use super::GroupIndex;
 use crate::ids::EndpointId;
@@ -22,6 +23,8 @@
     pub silent: &'a BTreeSet<EndpointId>,
     /// Whether the system has received requests; from then on, weight loads are limited.
     pub has_traffic: bool,
+    /// Measured use of the models' slots, where groups follow demand.
+    pub demand: Option<&'a DemandMonitor>,
     /// Current time.
     pub now: Instant,
 }
--- a/lib/src/fleet/replica_planner/convert_groups.rs
+++ b/lib/src/fleet/replica_planner/convert_groups.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::super::GroupKey;
 use super::super::GroupSummary;
 use super::super::MemberState;
 use super::super::ModelDemand;
@@ -33,6 +34,12 @@
     pub(super) model: ModelId,
     /// Time at which the conversion is given up.
     pub(super) times_out_at: Instant,
+    /// Whether measured demand calls for it.
+    pub(super) follows_demand: bool,
+    /// Whether the group has been ordered to close.
+    pub(super) is_closing: bool,
+    /// Whether its members leave; the registry may still show the group for a while.
+    pub(super) is_dissolved: bool,
 }
 
 impl ReplicaPlanner {
@@ -55,6 +62,11 @@
         } else {
             layout.clear_short_model();
         }
+        if input.has_traffic
+            && let Some(demand) = input.demand
+        {
+            self.follow_demand(service, &layout, pool, demand, input);
+        }
         self.load_for_conversions(service, pool, input, orders);
         self.layouts.insert(service.clone(), layout);
     }
@@ -76,7 +88,28 @@
         if !is_lasting || !is_better || !has_room || self.conversions.len() >= limit {
             return;
         }
-        // The group with the most members that need no load is converted soonest.
+        let Some(key) = self.best_candidate(rich, short, input) else {
+            return;
+        };
+        let timeout = Duration::from_millis(short.load_ms * CONVERSION_TIMEOUT_FACTOR);
+        let conversion = GroupConversion {
+            model: short.model.clone(),
+            times_out_at: input.now + timeout,
+            follows_demand: false,
+            is_closing: false,
+            is_dissolved: false,
+        };
+        self.conversions.insert(key, conversion);
+    }
+
+    /// Returns the group of `rich` that is converted soonest: the one with the most members
+    /// that need no load.
+    pub(super) fn best_candidate(
+        &self,
+        rich: &ModelProfile,
+        short: &ModelProfile,
+        input: &PlannerInput<'_>,
+    ) -> Option<GroupKey> {
         let groups = input.groups.groups.values();
         let candidates = groups.filter(|summary| {
             summary.model == rich.model
@@ -91,15 +124,7 @@
                 .filter(|record| record.has_staged(&short.model))
                 .count()
         });
-        let Some(key) = best.map(|summary| summary.key.clone()) else {
-            return;
-        };
-        let timeout = Duration::from_millis(short.load_ms * CONVERSION_TIMEOUT_FACTOR);
-        let conversion = GroupConversion {
-            model: short.model.clone(),
-            times_out_at: input.now + timeout,
-        };
-        self.conversions.insert(key, conversion);
+        best.map(|summary| summary.key.clone())
     }
 
     /// Orders the loads of members that are to serve another model, within the limit.
@@ -144,7 +169,7 @@
         input: &PlannerInput<'_>,
         orders: &mut Vec<PlannedOrder>,
     ) {
-        let Some(conversion) = self.conversions.get(&summary.key) else {
+        let Some(conversion) = self.conversions.get(&summary.key).cloned() else {
             return;
         };
         let service = input.config.services.get(&summary.service);
@@ -169,6 +194,9 @@
         if summary.head_state() != Some(MemberState::Open) {
             return;
         }
+        if !self.confirm_conversion(summary, &conversion, input) {
+            return;
+        }
         let order = ReplicaOrder::Close {
             key: summary.key.clone(),
             is_abrupt: false,
@@ -194,6 +222,9 @@
         .min_by(by_coverage)?;
     let rich = pool.engine.models.iter().max_by(by_coverage)?;
     let is_short = layout.coverage(short) < SHORT_COVERAGE_RATIO * layout.coverage(rich);
-    let is_planned = layout.group_count(&short.model) < layout.planned(&short.model);
+    let short_count = layout.group_count(&short.model);
+    let is_planned = short_count < layout.planned(&short.model);
+    // Where groups follow demand, the planned numbers alone only help a model without any.
+    let is_short = is_short && (input.demand.is_none() || short_count == 0);
     (input.has_traffic && is_short && is_planned).then_some((short, rich))
 }
--- a/lib/src/fleet/replica_planner/fleet_layout.rs
+++ b/lib/src/fleet/replica_planner/fleet_layout.rs
@@ -11,6 +11,8 @@
 use super::super::ModelDemand;
 use super::super::PlannerInput;
 use super::ReplicaPlanner;
+use super::group_moves::GroupMoves;
+use super::group_moves::with_moved;
 use crate::ids::DomainId;
 use crate::ids::ModelId;
 use crate::ids::ServiceId;
@@ -28,7 +30,7 @@
 /// Planned and present groups of a service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FleetLayout {
-    rooms: Vec<DomainRoom>,
+    pub(super) rooms: Vec<DomainRoom>,
     demands: Vec<ModelDemand>,
     models: Vec<ModelId>,
     packing: GroupPacking,
@@ -42,6 +44,8 @@
     short_model: Option<(ModelId, Instant)>,
     groups: BTreeMap<(ModelId, DomainId), usize>,
     zone_groups: BTreeMap<(ModelId, ZoneId), usize>,
+    /// Deviations from the packing because of measured demand.
+    pub(super) moves: GroupMoves,
 }
 
 impl FleetLayout {
@@ -53,16 +57,21 @@
 
     /// Returns the planned number of groups of a model in a domain.
     pub(super) fn planned_in(&self, model: &str, domain: &str) -> usize {
-        let model = self.models.iter().position(|known| known == model);
-        let domain = self.domain_indexes.get(domain);
-        match (domain, model) {
-            (Some(domain), Some(model)) => self.packing.count(*domain, model),
+        let index = self.models.iter().position(|known| known == model);
+        let packed = match (self.domain_indexes.get(domain), index) {
+            (Some(domain), Some(index)) => self.packing.count(*domain, index),
             _ => 0,
-        }
+        };
+        with_moved(packed, self.moves.in_domain(model, domain), 0)
     }
 
     /// Returns the planned number of groups of a model in all domains.
     pub(super) fn planned(&self, model: &str) -> usize {
+        with_moved(self.packed(model), self.moves.total(model), 1)
+    }
+
+    /// Returns the number of groups of a model in the packing.
+    fn packed(&self, model: &str) -> usize {
         let model = self.models.iter().position(|known| known == model);
         model.map_or(0, |model| self.packing.total(model))
     }
@@ -96,7 +105,13 @@
 
     /// Returns the capacity of a model relative to its share.
     pub(super) fn coverage(&self, profile: &ModelProfile) -> f64 {
-        ModelDemand::of(profile).coverage(self.group_count(&profile.model))
+        let coverage = ModelDemand::of(profile).coverage(self.group_count(&profile.model));
+        let packed = self.packed(&profile.model);
+        if self.moves.is_empty() || packed == 0 {
+            return coverage;
+        }
+        // Moved groups change the share that the model's work needs.
+        coverage * packed as f64 / self.planned(&profile.model).max(1) as f64
     }
 
     /// Returns the demands of the models that a domain is planned for.
@@ -212,7 +227,12 @@
     }
 
     /// Counts the groups of a service that serve or are being formed.
-    pub(super) fn count_groups(&mut self, service: &ServiceId, input: &PlannerInput<'_>) {
+    pub(super) fn count_groups(
+        &mut self,
+        service: &ServiceId,
+        engine: &EngineProfile,
+        input: &PlannerInput<'_>,
+    ) {
         let Some(mut layout) = self.layouts.remove(service) else {
             return;
         };
@@ -239,6 +259,9 @@
                 layout.add_group(&summary.model, &summary.domain, &summary.zone);
             }
         }
+        if input.has_traffic && input.demand.is_some() {
+            layout.infer_moves(engine, input.now);
+        }
         self.layouts.insert(service.clone(), layout);
     }
 }
--- a/lib/src/fleet/replica_planner/form_groups.rs
+++ b/lib/src/fleet/replica_planner/form_groups.rs
@@ -21,7 +21,7 @@
 const MIN_SURPLUS_TIME: Duration = Duration::from_millis(2_000);
 
 /// Free VMs by domain.
-type FreeVms<'a> = BTreeMap<DomainId, Vec<&'a EndpointRecord>>;
+pub(super) type FreeVms<'a> = BTreeMap<DomainId, Vec<&'a EndpointRecord>>;
 
 impl ReplicaPlanner {
     /// Forms groups from free VMs. The model with the least capacity relative to its share
@@ -38,6 +38,7 @@
         };
         if layout.is_settled(input) {
             let mut free = partition_by_domain(&pool.free);
+            self.form_converted(&mut layout, pool.engine, &mut free, input, orders);
             while let Some((profile, members)) = self.next_group(&layout, pool, &free, input) {
                 let head = members[0];
                 layout.add_group(&profile.model, &head.domain, &head.zone);
@@ -150,7 +151,8 @@
         Some((slow_count, usable))
     }
 
-    fn start_group(
+    /// Orders VMs to join a new group.
+    pub(super) fn start_group(
         &mut self,
         profile: &ModelProfile,
         members: &[&EndpointRecord],
--- a/lib/src/fleet/replica_planner/mod.rs
+++ b/lib/src/fleet/replica_planner/mod.rs
@@ -6,7 +6,9 @@
 
 mod convert_groups;
 mod fleet_layout;
+mod follow_demand;
 mod form_groups;
+mod group_moves;
 mod reconcile_groups;
 mod stage_weights;
 mod warm_spares;
@@ -16,6 +18,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::ConversionNote;
 use super::EndpointRecord;
 use super::EndpointState;
 use super::GroupKey;
@@ -69,6 +72,8 @@
     layouts: BTreeMap<ServiceId, FleetLayout>,
     /// Groups whose members are to serve another model.
     conversions: BTreeMap<GroupKey, GroupConversion>,
+    /// Steps of conversions that have not been logged.
+    demand_notes: Vec<ConversionNote>,
 }
 
 #[derive(Clone, Debug)]
@@ -108,6 +113,7 @@
             left_groups: BTreeMap::new(),
             layouts: BTreeMap::new(),
             conversions: BTreeMap::new(),
+            demand_notes: Vec::new(),
         }
     }
 
@@ -136,7 +142,7 @@
                 }
             }
             self.record_free_vms(name, &pool, input);
-            self.count_groups(name, input);
+            self.count_groups(name, engine, input);
             self.form_groups(name, &mut pool, input, &mut orders);
             self.warm_spares(&mut pool, input, &mut orders);
             self.stage_weights(name, &pool, input, &mut orders);
--- a/lib/src/fleet/replica_planner/reconcile_groups.rs
+++ b/lib/src/fleet/replica_planner/reconcile_groups.rs
@@ -64,6 +64,7 @@
                 members().collect()
             }
             Some(MemberState::Ready) if self.conversions.contains_key(&summary.key) => {
+                self.keep_converted_members(summary, input);
                 self.dissolve(summary, input, orders)
             }
             Some(MemberState::Ready | MemberState::Joining)
--- a/lib/tests/testutils/replica_sim.rs
+++ b/lib/tests/testutils/replica_sim.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use fastrand::Rng;
+use jujuberoad::fleet::DemandMonitor;
 use jujuberoad::fleet::EndpointRecord;
 use jujuberoad::fleet::EndpointState;
 use jujuberoad::fleet::EndpointTable;
@@ -23,6 +24,7 @@
 use jujuberoad::fleet::OrderAnswer;
 use jujuberoad::fleet::PlannedOrder;
 use jujuberoad::fleet::PlannerInput;
+use jujuberoad::fleet::PoolSample;
 use jujuberoad::fleet::ReplicaOrder;
 use jujuberoad::fleet::ReplicaPlanner;
 use jujuberoad::ids::EndpointId;
@@ -49,6 +51,8 @@
 const SILENCE_LIMIT_MS: u64 = 2_000;
 /// The same for a member whose VM accepts no connections.
 const DARK_LIMIT_MS: u64 = 200;
+/// Interval at which the use of the models' slots is measured.
+const SAMPLE_INTERVAL_MS: u64 = 240;
 /// Window of the limit on started loads.
 const LOAD_WINDOW_MS: u64 = 5_000;
 /// Largest number of loads that may start in a window.
@@ -178,6 +182,16 @@
     samples: usize,
     config: ServingConfig,
     fence: u64,
+    /// Requests that want a slot, by model; without a value, groups do not follow demand.
+    pub wanted: Option<Vec<u32>>,
+    /// Part of the requests that the planner's router knows of.
+    pub heard_share: f64,
+    /// Whether the store is unavailable, so that nothing is measured and no orders are given.
+    pub is_store_away: bool,
+    /// Conversions that have started and failed, as lines of text.
+    pub conversion_log: Vec<String>,
+    demand: DemandMonitor,
+    sampled_at: u64,
 }
 
 impl ReplicaSim {
@@ -218,6 +232,12 @@
             samples: 0,
             config,
             fence: 1,
+            wanted: None,
+            heard_share: 1.0,
+            is_store_away: false,
+            conversion_log: Vec::new(),
+            demand: DemandMonitor::default(),
+            sampled_at: 0,
             plan,
         };
         for zone in 0..sim.plan.zones {
@@ -370,6 +390,7 @@
     pub fn take_over(&mut self) {
         self.fence += 1;
         self.planner = ReplicaPlanner::new(self.fence, self.rng.u64(..));
+        self.demand = DemandMonitor::default();
     }
 
     /// Restarts all processes while entries that expired in an outage are written again.
@@ -540,7 +561,42 @@
         }
     }
 
+    /// Measures the use of the models' slots, four times a second.
+    fn sample_demand(&mut self) {
+        let Some(wanted) = &self.wanted else {
+            return;
+        };
+        if self.now_ms < self.sampled_at + SAMPLE_INTERVAL_MS {
+            return;
+        }
+        self.sampled_at = self.now_ms;
+        let serving = self.serving();
+        let models = self.plan.models.iter().zip(wanted);
+        let samples = models.map(|(profile, wanted)| {
+            let groups = serving[profile.model.as_str()];
+            let slots = 17 * groups as u32;
+            let running = (f64::from(*wanted.min(&slots)) * self.heard_share) as u32;
+            PoolSample {
+                model: profile.model.clone(),
+                groups,
+                slots,
+                running,
+                waiting: wanted.saturating_sub(slots),
+            }
+        });
+        let samples = samples.collect();
+        let now = self.instant();
+        for shortage in self.demand.observe(&"engines".into(), samples, now) {
+            self.conversion_log
+                .push(format!("{} ms: {} short", self.now_ms, shortage.short));
+        }
+    }
+
     fn plan_round(&mut self) {
+        if self.is_store_away {
+            return;
+        }
+        self.sample_demand();
         let Some((_, table)) = self.snapshots.front().cloned() else {
             return;
         };
@@ -564,9 +620,16 @@
             unreachable: &unreachable,
             silent: &silent,
             has_traffic: self.has_traffic,
+            demand: self.wanted.as_ref().map(|_| &self.demand),
             now: self.instant(),
         };
         let orders = self.planner.plan(&input);
+        for note in self.planner.take_demand_notes() {
+            self.conversion_log.push(format!(
+                "{} ms: {} {} to {}",
+                self.now_ms, note.step, note.donor, note.short
+            ));
+        }
         for order in orders {
             self.orders_sent += 1;
             let answer = self.send_order(&order);
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -54,6 +54,8 @@
     Rest,
     /// An endpoint named a limit on the rate of its requests, changed it or named none again.
     Limit,
+    /// A model became short of slots, or a group is converted for it.
+    Demand,
 }
 
 impl LogKind {
