--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -49,6 +49,12 @@
     result: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ModelLabels {
+    service: String,
+    model: String,
+}
+
 /// All metrics of the process.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
@@ -72,6 +78,7 @@
     pub(crate) first_event_ms: Histogram,
     total_ms: Histogram,
     pub(crate) models_without_room: Gauge<i64, std::sync::atomic::AtomicI64>,
+    model_use: Family<ModelLabels, Gauge<f64, AtomicU64>>,
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
     waiting_on_time: Family<PriorityLabels, Gauge<i64, std::sync::atomic::AtomicI64>>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
@@ -108,6 +115,7 @@
             first_event_ms: Histogram::new(LATENCY_BOUNDS),
             total_ms: Histogram::new(LATENCY_BOUNDS),
             models_without_room: Gauge::default(),
+            model_use: Family::default(),
             waiting: Gauge::default(),
             waiting_on_time: Family::default(),
             serving_targets: Gauge::default(),
@@ -204,6 +212,11 @@
             "Time to the end of a request",
             metrics.total_ms.clone(),
         );
+        registry.register(
+            "model_use",
+            "Requests of all routers relative to the slots, by model, as the placer sees them",
+            metrics.model_use.clone(),
+        );
         registry.register(
             "waiting",
             "Requests that wait for a slot",
@@ -298,6 +311,18 @@
             let gauge = self.waiting_on_time.get_or_create(&labels);
             gauge.set(i64::from(waiting));
         }
+    /// Sets the use of a model's slots.
+    pub(crate) fn record_model_use(&self, service: &str, model: &str, used: f64) {
+        let labels = ModelLabels {
+            service: service.to_owned(),
+            model: model.to_owned(),
+        };
+        self.model_use.get_or_create(&labels).set(used);
+    }
+
+    /// Removes the use of all models, which only the placer measures.
+    pub(crate) fn clear_model_use(&self) {
+        self.model_use.clear();
     }
 
     /// Counts a call to the platform or to an engine.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod caller_memory;
 mod caller_request;
 mod digest_exchange;
+mod demand_sampler;
 mod endpoint_call;
 mod endpoint_guard;
 mod era_watch;
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -56,6 +56,8 @@
     Limit,
     /// This router has chosen or lost the hub that sends it the digest of the fleet.
     Hub,
+    /// A model became short of slots, or a group is converted for it.
+    Demand,
 }
 
 impl LogKind {
