lib, gateway: concurrency limit per target, found from its answers

A target that has just started, or is no longer excluded, got as many requests as it has slots before any router knew how it answers; a target that had become slow kept as many.

TargetPace bounds the requests that all routers together may have in progress at a target. It starts at an eighth of the slots, doubles with each round of answers on time, and is cut when more than a tenth of a round is late. Targets that are late together keep what their engine profile needs for its throughput; only one that is late far more often than the rest of its pool is cut further. While a target starts, each router takes its share of the room, because loads of peers arrive late. Only with `[overload] mode` in force; the bound is `slots` otherwise. The outcomes of peers are not wired yet: PaceTable::observe returns them and PaceTable::observe_peers takes them.

--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -22,6 +22,7 @@
 use crate::relay_call::RelayEnd;
 use crate::reserved_target::ReservedTarget;
 use crate::run_watch::RunWatch;
+use crate::target_paces;
 
 /// Largest response that is buffered; the store's largest values are 1 MB.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -175,6 +176,7 @@
 
     async fn attempt(&self, reserved: &ReservedTarget) -> AttemptEnd {
         let address = reserved.target.address;
+        let sent_at = Instant::now();
         let mut run = RunWatch::new(&self.core, &self.request, &reserved.target.endpoint);
         let answer = match endpoint_call::send(&self.core, &self.request, reserved, None).await {
             Ok(answer) => answer,
@@ -215,6 +217,10 @@
             }
         };
         run.record_complete();
+        if !status.is_server_error() {
+            let target = &reserved.target;
+            target_paces::observe_answer(&self.core, &self.request, target, sent_at);
+        }
         let response = Response::from_parts(parts, full_body(body));
         AttemptEnd::Answer(Box::new(response))
     }
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -33,6 +33,7 @@
 use jujuberoad::ids::ModelId;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
+use jujuberoad::pace::PaceTable;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -84,6 +85,8 @@
     /// Routers that are missing from the list since the store was restored.
     pub(crate) unconfirmed_routers: Mutex<BTreeSet<RouterId>>,
     pub(crate) loads: Mutex<LoadTable>,
+    /// How many requests each target may have in progress; locked after `loads`.
+    pub(crate) paces: Mutex<PaceTable>,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -196,6 +196,7 @@
         models_without_room: Mutex::default(),
         unconfirmed_routers: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
+        paces: Mutex::default(),
         first_events: Mutex::default(),
         caller_retries: Mutex::default(),
         retry_budget: Mutex::new(retry_budget),
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -65,6 +65,7 @@
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
     registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+    paced_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
 }
 
 impl Default for GatewayMetrics {
@@ -93,6 +94,7 @@
             waiting: Gauge::default(),
             serving_targets: Gauge::default(),
             registry_age_ms: Gauge::default(),
+            paced_targets: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -192,6 +194,11 @@
             "Time since the registry was confirmed",
             age,
         );
+        registry.register(
+            "paced_targets",
+            "Targets that may take fewer requests than they have slots",
+            metrics.paced_targets.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -244,6 +251,8 @@
             .registry_confirmed_at
             .map(|at| at.elapsed().as_millis() as i64);
         metrics.registry_age_ms.set(age.unwrap_or(-1));
+        let paced = self.core.paces.lock().expect("pace lock").reduced_count();
+        metrics.paced_targets.set(paced as i64);
         let mut text = String::new();
         let mut response = match encode(&mut text, &metrics.registry) {
             Ok(()) => Response::new(full_body(text)),
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -12,9 +12,11 @@
 use jujuberoad::fleet::ServingTarget;
 use jujuberoad::fleet::TargetPicker;
 use jujuberoad::ids::EndpointId;
+use jujuberoad::pace::PacedPicker;
 
 use crate::call_deadline::timeout_at;
 use crate::gateway_core::GatewayCore;
+use crate::target_paces;
 
 /// Interval at which a queued request checks for a slot without a wakeup, because load
 /// digests from peers do not trigger one.
@@ -218,14 +220,40 @@
                 || !may_send(target)
         };
         let mut loads = core.loads.lock().expect("load lock");
+        let is_excluded = |target: &ServingTarget| {
+            avoid_list.is_avoided(target, now) || core.stalls.is_suspect(&target.endpoint)
+        };
+        let mut paces = core
+            .handles_overload()
+            .then(|| target_paces::lock_current(core, &view.targets, &loads, &is_excluded, now));
+        let bound = |target: &ServingTarget| {
+            let paces = paces.as_ref();
+            paces.map_or(target.slots, |paces| paces.bound(target))
+        };
         let picker = TargetPicker {
             loads: &loads,
             zone: &core.settings.zone,
             avoided: &avoided,
+            bound: &bound,
             queue_limit: 0,
             now,
         };
-        let target = picker.pick(targets, fastrand::f64)?.clone();
+        let target = match &paces {
+            None => picker.pick(targets, fastrand::f64)?.clone(),
+            Some(paces) => {
+                let routers = divider.router_count(now);
+                let picker = PacedPicker {
+                    paces,
+                    picker,
+                    routers,
+                };
+                picker.pick(targets, fastrand::f64)?.clone()
+            }
+        };
+        if let Some(paces) = &mut paces {
+            paces.record_arrival(&query.pool, now);
+        }
+        drop(paces);
         loads.begin_request(&target.endpoint, query.prompt_tokens);
         drop(loads);
         pacer.record_send(&target.endpoint, now);
--- a/gateway/src/stream_attempt.rs
+++ b/gateway/src/stream_attempt.rs
@@ -27,6 +27,7 @@
 use crate::gateway_core::GatewayCore;
 use crate::run_count::RunCount;
 use crate::stream_guard::StreamGuard;
+use crate::target_paces;
 
 /// Largest error response that is buffered.
 pub(crate) const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -143,6 +144,9 @@
         if self.after.is_none() && !guard.was_silent() {
             let mut latency = self.core.first_events.lock().expect("first event lock");
             latency.observe(&self.request.pool, sent_at.elapsed());
+            drop(latency);
+            let target = &guard.reserved.target;
+            target_paces::observe_answer(&self.core, &self.request, target, sent_at);
         }
         guard.observe_event();
         AttemptEnd::Open(Box::new(OpenStream {
--- a/lib/src/fleet/target_picker.rs
+++ b/lib/src/fleet/target_picker.rs
@@ -21,7 +21,9 @@
     pub zone: &'a str,
     /// Returns whether a target must not be picked.
     pub avoided: &'a dyn Fn(&ServingTarget) -> bool,
-    /// Number of requests beyond its slots that a target may queue.
+    /// Returns how many requests a target may have in progress over all routers.
+    pub bound: &'a dyn Fn(&ServingTarget) -> u32,
+    /// Number of requests beyond its bound that a target may queue.
     pub queue_limit: u32,
     /// Current time.
     pub now: Instant,
@@ -38,7 +40,8 @@
         let mut best: Option<(f64, &ServingTarget)> = None;
         for target in targets {
             let load = self.load(target);
-            if load.requests >= target.slots + self.queue_limit || (self.avoided)(target) {
+            let bound = (self.bound)(target).saturating_add(self.queue_limit);
+            if load.requests >= bound || (self.avoided)(target) {
                 continue;
             }
             let mut delay = first_event_ms(target, load) + JITTER_MS * random();
@@ -52,7 +55,8 @@
         best.map(|(_, target)| target)
     }
 
-    fn load(&self, target: &ServingTarget) -> EndpointLoad {
+    /// Returns the load of a target over all routers.
+    pub fn load(&self, target: &ServingTarget) -> EndpointLoad {
         self.loads
             .total(&target.endpoint, target.prefill_ms_per_token, self.now)
     }
--- a/lib/src/fleet/target_table.rs
+++ b/lib/src/fleet/target_table.rs
@@ -64,6 +64,12 @@
         self.pools.get(key).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns all pools with their targets.
+    pub fn pools(&self) -> impl Iterator<Item = (&PoolKey, &[ServingTarget])> {
+        let pools = self.pools.iter();
+        pools.map(|(pool, targets)| (pool, targets.as_slice()))
+    }
+
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = &ServingTarget> {
         self.pools.values().flatten()
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ids;
 pub mod membership;
 pub mod outcome;
+pub mod pace;
 pub mod peer;
 pub mod placement;
 pub mod poison;
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -278,6 +278,7 @@
             loads,
             zone: "z1",
             avoided: &|_| false,
+            bound: &|target| target.slots,
             queue_limit: 0,
             now,
         };
--- a/lib/tests/testutils/choice_sim.rs
+++ b/lib/tests/testutils/choice_sim.rs
@@ -234,6 +234,7 @@
             loads: &self.routers[router],
             zone: &own_zone,
             avoided: &|_| false,
+            bound: &|target| target.slots,
             queue_limit: 0,
             now: self.instant(),
         };
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -34,4 +34,5 @@
 pub fn once_in(u: &mut Unstructured<'_>, odds: u32) -> arbitrary::Result<bool> {
     Ok(!u.is_empty() && u.int_in_range(1..=odds)? == odds)
 }
+pub mod pace_sim;
 pub mod replica_sim;
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -54,6 +54,8 @@
     Rest,
     /// An endpoint named a limit on the rate of its requests, changed it or named none again.
     Limit,
+    /// The concurrency limit of a target was cut, or starts anew.
+    Pace,
 }
 
 impl LogKind {
@@ -61,7 +63,7 @@
     /// highest limit, so that they are not suppressed before other kinds.
     pub fn max_lines_per_second(self) -> u32 {
         match self {
-            Self::Answered => 20,
+            Self::Answered | Self::Pace => 20,
             Self::Endpoint | Self::Damaged | Self::Order => 50,
             _ => 200,
         }
