--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -34,6 +34,7 @@
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
 use jujuberoad::peer::PoolWaiting;
+use jujuberoad::pace::PaceTable;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -90,6 +91,8 @@
     pub(crate) loads: Mutex<LoadTable>,
     /// Digests from peers, and what the next ones to them contain.
     pub(crate) digests: DigestExchange,
+    /// How many requests each target may have in progress; locked after `loads`.
+    pub(crate) paces: Mutex<PaceTable>,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -205,6 +205,7 @@
         unconfirmed_routers: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
         digests,
+        paces: Mutex::default(),
         first_events: Mutex::default(),
         caller_retries: Mutex::default(),
         retry_budget: Mutex::new(retry_budget),
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -89,6 +89,7 @@
     body_evictions: Counter,
     connections_closed: Counter,
     open_connections: Gauge<i64, std::sync::atomic::AtomicI64>,
+    paced_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
 }
 
 impl Default for GatewayMetrics {
@@ -126,6 +127,7 @@
             body_evictions: Counter::default(),
             connections_closed: Counter::default(),
             open_connections: Gauge::default(),
+            paced_targets: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -251,6 +253,10 @@
             metrics.hub_members.clone(),
         );
         metrics.register_caller_memory(&mut registry);
+            "paced_targets",
+            "Targets that may take fewer requests than they have slots",
+            metrics.paced_targets.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -369,6 +375,8 @@
         };
         let age = age.map(|age| age.as_millis() as i64);
         metrics.digest_age_ms.set(age.unwrap_or(-1));
+        let paced = self.core.paces.lock().expect("pace lock").reduced_count();
+        metrics.paced_targets.set(paced as i64);
         let mut text = String::new();
         let mut response = match encode(&mut text, &metrics.registry) {
             Ok(()) => Response::new(full_body(text)),
--- a/node/src/runtime/log_kind.rs
+++ b/node/src/runtime/log_kind.rs
@@ -58,6 +58,8 @@
     Hub,
     /// A model became short of slots, or a group is converted for it.
     Demand,
+    /// The concurrency limit of a target was cut, or starts anew.
+    Pace,
 }
 
 impl LogKind {
@@ -65,7 +67,7 @@
     /// highest limit, so that they are not suppressed before other kinds.
     pub fn max_lines_per_second(self) -> u32 {
         match self {
-            Self::Answered => 20,
+            Self::Answered | Self::Pace => 20,
             Self::Endpoint | Self::Damaged | Self::Order => 50,
             _ => 200,
         }
