gateway: answers that peers report set the pace of targets

Cause: the paces and the digests were built apart. Change: own outcomes go into digests, those of peers into the pace table; the metrics page is repaired after the merge of its sections.

--- a/gateway/src/digest_exchange.rs
+++ b/gateway/src/digest_exchange.rs
@@ -27,6 +27,7 @@
 
 use crate::gateway_core::GatewayCore;
 use crate::gateway_settings::GatewaySettings;
+use crate::target_paces;
 
 /// Exchange of digests with peers.
 ///
@@ -55,13 +56,11 @@
     }
 
     /// Records an answer of an endpoint to this router, for the digests to peers.
-    #[allow(dead_code, reason = "for the modules that follow the pace of targets")]
     pub(crate) fn record_outcome(&self, endpoint: &EndpointId, on_time: bool) {
         self.planner().sum_mut().record_outcome(endpoint, on_time);
     }
 
     /// Returns the answers that other routers have reported since the last call, by endpoint.
-    #[allow(dead_code, reason = "for the modules that follow the pace of targets")]
     pub(crate) fn take_outcomes(&self) -> OutcomeSums {
         self.planner().sum_mut().take_outcomes()
     }
@@ -111,6 +110,7 @@
 pub(crate) fn start(core: Arc<GatewayCore>) {
     runtime::spawn(async move {
         loop {
+            target_paces::adopt_outcomes(&core);
             let (addresses, tick) = tick(&core);
             log_step(&core, &tick.step);
             for send in tick.sends {
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -30,8 +30,8 @@
 use smol::net::TcpListener;
 
 use crate::caller_api::CallerApi;
-use crate::digest_exchange::DigestExchange;
 use crate::caller_memory::CallerMemory;
+use crate::digest_exchange::DigestExchange;
 use crate::era_watch;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::time::Instant;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use hyper::Request;
@@ -253,6 +253,7 @@
             metrics.hub_members.clone(),
         );
         metrics.register_caller_memory(&mut registry);
+        registry.register(
             "paced_targets",
             "Targets that may take fewer requests than they have slots",
             metrics.paced_targets.clone(),
@@ -317,6 +318,8 @@
             let gauge = self.waiting_on_time.get_or_create(&labels);
             gauge.set(i64::from(waiting));
         }
+    }
+
     /// Sets the use of a model's slots.
     pub(crate) fn record_model_use(&self, service: &str, model: &str, used: f64) {
         let labels = ModelLabels {
--- a/gateway/src/target_paces.rs
+++ b/gateway/src/target_paces.rs
@@ -54,12 +54,30 @@
     };
     let loads = core.loads.lock().expect("load lock");
     let mut paces = core.paces.lock().expect("pace lock");
-    let (_outcome, step) = paces.observe(target, &answer, &loads, now);
+    let (outcome, step) = paces.observe(target, &answer, &loads, now);
     drop(paces);
     drop(loads);
+    if let Some(outcome) = outcome {
+        let is_on_time = outcome.late == 0;
+        core.digests.record_outcome(&target.endpoint, is_on_time);
+    }
     log_steps(core, step.as_slice());
 }
 
+/// Takes over the answers that peers have reported since the last call.
+pub(crate) fn adopt_outcomes(core: &GatewayCore) {
+    let outcomes: Vec<_> = core.digests.take_outcomes().into_iter().collect();
+    if outcomes.is_empty() || !core.handles_overload() {
+        return;
+    }
+    let loads = core.loads.lock().expect("load lock");
+    let mut paces = core.paces.lock().expect("pace lock");
+    let steps = paces.observe_peers(&outcomes, &loads, Instant::now());
+    drop(paces);
+    drop(loads);
+    log_steps(core, &steps);
+}
+
 /// Logs starts and cuts.
 pub(crate) fn log_steps(core: &GatewayCore, steps: &[PaceStep]) {
     for step in steps {
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,10 +6,10 @@
 
 mod avoid_list;
 mod delta_step;
+mod demand;
 mod digest_planner;
 mod digest_round;
 mod digest_sum;
-mod demand;
 mod endpoint_record;
 mod endpoint_state;
 mod endpoint_table;
@@ -52,6 +52,12 @@
 
 pub use avoid_list::AvoidList;
 pub use delta_step::DeltaStep;
+pub use demand::ConversionNote;
+pub use demand::ConversionStep;
+pub use demand::DemandMonitor;
+pub use demand::ModelShortage;
+pub use demand::PoolDemand;
+pub use demand::PoolSample;
 pub use digest_planner::DigestInput;
 pub use digest_planner::DigestPlanner;
 pub use digest_planner::DigestSend;
@@ -59,12 +65,6 @@
 pub use digest_round::DigestRound;
 pub use digest_sum::DigestSum;
 pub use digest_sum::OutcomeSums;
-pub use demand::ConversionNote;
-pub use demand::ConversionStep;
-pub use demand::DemandMonitor;
-pub use demand::ModelShortage;
-pub use demand::PoolDemand;
-pub use demand::PoolSample;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
