--- a/lib/tests/test_target_pace.rs
+++ b/lib/tests/test_target_pace.rs
@@ -5,8 +5,14 @@
 
 mod testutils;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use insta::assert_snapshot;
+use jujuberoad::fleet::LoadTable;
+use jujuberoad::fleet::PoolKey;
 use jujuberoad::fleet::ServingTarget;
+use jujuberoad::pace::PaceTable;
 use testutils::pace_sim::OBJECTIVE_MS;
 use testutils::pace_sim::PacePlan;
 use testutils::pace_sim::PaceSim;
@@ -158,3 +164,37 @@
     ];
     assert_snapshot!(table.join("\n"));
 }
+
+/// A router that starts, loses its own path to most of a pool, or hears of no answers must not
+/// hold back targets that have room.
+#[test]
+fn paces_do_not_strand_capacity() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let (service, model) = ("s".into(), None);
+    let pool = PoolKey { service, model };
+    let targets: Vec<_> = (0..8).map(target).collect();
+    let loads = LoadTable::default();
+    let mut table = PaceTable::default();
+    let mut refresh = |count: usize, excluded: usize, ms| {
+        let is_excluded = |target: &ServingTarget| targets[..excluded].contains(target);
+        let pools = [(&pool, &targets[..count])].into_iter();
+        let steps = table.refresh(pools, &loads, &is_excluded, at(ms));
+        let bounds = targets[..count].iter().map(|target| table.bound(target));
+        let bounds: Vec<_> = bounds.collect();
+        format!("{ms:>5} ms: {} start, {bounds:?}", steps.len())
+    };
+    let table = [
+        refresh(7, 0, 0),
+        refresh(8, 0, 250),
+        refresh(8, 5, 500),
+        refresh(8, 0, 2_000),
+        refresh(8, 1, 2_500),
+        refresh(8, 1, 3_500),
+        refresh(8, 0, 4_000),
+        refresh(8, 0, 6_500),
+        refresh(8, 0, 9_000),
+        refresh(8, 0, 11_500),
+    ];
+    assert_snapshot!(table.join("\n"));
+}
