gateway: room that is kept follows the paces of targets

Cause: room was counted in slots, though paces bound what targets take. Change: the pool's room is the sum of the bounds less the load.

--- a/gateway/src/ordered_reserve.rs
+++ b/gateway/src/ordered_reserve.rs
@@ -106,14 +106,16 @@
         let view = self.core.fleet.view();
         let avoided = self.core.avoided().clone();
         let loads = self.core.loads.lock().expect("load lock");
+        let paces = self.core.paces.lock().expect("pace lock");
         let (mut slots, mut free) = (0, 0);
         for target in view.targets.pool(&self.query.pool) {
             if avoided.is_avoided(target, now) {
                 continue;
             }
             let load = loads.total(&target.endpoint, target.prefill_ms_per_token, now);
-            slots += target.slots;
-            free += target.slots.saturating_sub(load.requests);
+            let bound = paces.bound(target);
+            slots += bound;
+            free += bound.saturating_sub(load.requests);
         }
         (slots, free)
     }
