node, lib: bodies are written without a copy, small answers keep room

The HTTP library copied each body into a buffer of its connection, where it was held outside the budget for callers and endpoints that read slowly. Connections now use vectored writes, so that the reservation lasts until the bytes are written. Large answers leave a sixteenth of the budget to small ones, which would otherwise wait for slow readers.

--- a/lib/src/admission/body_budget.rs
+++ b/lib/src/admission/body_budget.rs
@@ -13,6 +13,9 @@
 /// Part of the budget that request bodies leave to answers. Without it, requests could hold all
 /// of it until their deadlines, while the answers that would end them find no room.
 const ANSWER_PART: u64 = 4;
+/// Part of the budget that large answers leave to small ones, which would otherwise wait while
+/// callers read large ones slowly.
+const SMALL_ANSWER_PART: u64 = 16;
 /// Bytes that count as progress. A caller that sends less than this in [`MAX_STALL`] is slower
 /// than 16 kbit/s and may lose its reservation.
 const PROGRESS_BYTES: u64 = 1 << 10;
@@ -51,7 +54,11 @@
 
 impl BodyClaim {
     fn is_large(&self) -> bool {
-        self.kind != ClaimKind::Answer && self.reserved_bytes > SMALL_BODY_BYTES
+        self.reserved_bytes > SMALL_BODY_BYTES
+    }
+
+    fn is_large_request(&self) -> bool {
+        self.kind != ClaimKind::Answer && self.is_large()
     }
 }
 
@@ -72,7 +79,7 @@
 struct UsedBytes {
     total: u64,
     requests: u64,
-    large: u64,
+    large_requests: u64,
 }
 
 impl UsedBytes {
@@ -82,8 +89,8 @@
         if claim.kind != ClaimKind::Answer {
             self.requests += bytes;
         }
-        if claim.is_large() {
-            self.large += bytes;
+        if claim.is_large_request() {
+            self.large_requests += bytes;
         }
     }
 
@@ -93,8 +100,8 @@
         if claim.kind != ClaimKind::Answer {
             self.requests -= bytes;
         }
-        if claim.is_large() {
-            self.large -= bytes;
+        if claim.is_large_request() {
+            self.large_requests -= bytes;
         }
     }
 }
@@ -162,7 +169,7 @@
                     || used.requests > self.request_bytes()
                     || claim.kind == ClaimKind::Answer;
                 // A small body makes no room where only the part for large ones is used up.
-                if !exceeds_all && !lost.is_large() {
+                if !exceeds_all && !lost.is_large_request() {
                     continue;
                 }
                 used.remove(lost);
@@ -218,10 +225,12 @@
             return false;
         }
         if claim.kind == ClaimKind::Answer {
-            return true;
+            let small_bytes = self.total_bytes / SMALL_ANSWER_PART;
+            return !claim.is_large() || used.total <= self.total_bytes - small_bytes;
         }
         let large_bytes = self.request_bytes() - self.total_bytes / SMALL_PART;
-        used.requests <= self.request_bytes() && (!claim.is_large() || used.large <= large_bytes)
+        used.requests <= self.request_bytes()
+            && (!claim.is_large() || used.large_requests <= large_bytes)
     }
 
     /// Returns the bodies that `claim` may displace, the one without progress for longest
--- a/node/src/http/http_pool.rs
+++ b/node/src/http/http_pool.rs
@@ -46,7 +46,6 @@
 const UNACKNOWLEDGED_MS: Milliseconds = 3_000;
 /// Maximum size of a response body that [`HttpPool::exchange`] buffers.
 const MAX_REPLY_BYTES: usize = 4 << 20;
-
 /// Maximum size of a response head. Heads of endpoints hold a few hundred bytes.
 const MAX_HEAD_BYTES: usize = 128 << 10;
 
@@ -286,6 +285,8 @@
         let stream = YieldingStream::new(stream, Arc::clone(&interim));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
+            // Without it, bodies are copied into a buffer of the connection as a whole.
+            .writev(true)
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| CallError::unsent(CallStep::Connect, address, error))?;
--- a/node/src/http/http_server.rs
+++ b/node/src/http/http_server.rs
@@ -130,6 +130,8 @@
                 .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
                 .max_headers(limits.max_headers)
                 .max_buf_size(limits.max_head_bytes)
+                // Without it, bodies are copied into a buffer of the connection as a whole.
+                .writev(true)
                 .serve_connection(FuturesIo::new(stream), service);
             let mut connection = pin!(connection);
             let ended = async {
