--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -58,6 +58,7 @@
 use crate::stall_monitor::StallMonitor;
 use crate::stop_plan::StopPlan;
 use crate::store_session::StoreSession;
+use crate::version_notes::VersionNotes;
 
 /// Time for which an endpoint that did not answer is avoided, unless the registry
 /// shows a change earlier. Registry entries of dead endpoints expire after 3.6 s.
@@ -93,6 +94,8 @@
     pub(crate) digests: DigestExchange,
     /// How many requests each target may have in progress; locked after `loads`.
     pub(crate) paces: Mutex<PaceTable>,
+    /// Version of the operator's keys that this router has applied.
+    pub(crate) version_notes: VersionNotes,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -67,6 +67,7 @@
 mod stream_guard;
 mod stream_relay;
 mod target_paces;
+mod version_notes;
 
 pub use gateway_backends::GatewayBackends;
 pub use gateway_daemon::run_gateway;
