lib, gateway: overload model reads the sum over peers every 50 ms, as routers do

Cause: the model added up all digests in each step of 5 ms, which took most of its time and is fresher than what a router uses.

The source of the peers' counts is one function of pool_board.rs.

--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -33,7 +33,6 @@
 use jujuberoad::ids::ModelId;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
-use jujuberoad::peer::PoolWaiting;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -357,12 +356,6 @@
         }
     }
 
-    /// Returns what peers report of their waiting and running requests; empty while digests
-    /// carry none, so that this router decides from its own counts.
-    pub(crate) fn fleet_waiting(&self, _now: Instant) -> Vec<PoolWaiting> {
-        Vec::new()
-    }
-
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/gateway/src/pool_board.rs
+++ b/gateway/src/pool_board.rs
@@ -51,7 +51,7 @@
     let peers = {
         let mut sum = core.pool_activity.peers.lock().expect("peer sum lock");
         if sum.valid_until.is_none_or(|until| now >= until) {
-            sum.counts = PoolPressure::sum_classes(core.fleet_waiting(now)).into();
+            sum.counts = PoolPressure::sum_classes(fleet_waiting(core, now)).into();
             sum.valid_until = Some(now + PEER_SUM_LIFETIME);
         }
         Arc::clone(&sum.counts)
@@ -60,6 +60,12 @@
     PoolPressure::new(pool, &own, &peers)
 }
 
+/// Returns what peers report of their requests; empty while digests carry no such counts, so that
+/// this router decides from its own.
+fn fleet_waiting(_core: &GatewayCore, _now: Instant) -> Vec<PoolWaiting> {
+    Vec::new()
+}
+
 /// A request that is counted as waiting while it can be on time.
 pub(crate) struct WaitCount<'a> {
     core: &'a GatewayCore,
--- a/lib/tests/test_overload.rs
+++ b/lib/tests/test_overload.rs
@@ -6,7 +6,8 @@
 
 mod testutils;
 
-use testutils::overload_sim::{Digests, OverloadPlan, OverloadSim};
+use testutils::overload_plan::{Digests, OverloadPlan};
+use testutils::overload_sim::OverloadSim;
 
 /// Runs that are added up in a table, one for each seed.
 const SEEDS: u64 = 4;
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim_sim;
 pub mod fleet_files;
 pub mod limit_sim;
+pub mod overload_plan;
 pub mod overload_sim;
 pub mod poison_sim;
 pub mod slot_sim;
--- a/lib/tests/testutils/overload_sim.rs
+++ b/lib/tests/testutils/overload_sim.rs
@@ -1,15 +1,15 @@
 //! Routers that share two pools of batching targets, in virtual time.
 
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 use jujuberoad::admission::FirstEventLatency;
 use jujuberoad::admission::overload::{self, AdmissionChoice, OverloadPolicy, PoolActivity};
-use jujuberoad::admission::overload::{PoolClass, PoolPressure, WaitingRequest};
-use jujuberoad::fleet::PoolKey;
+use jujuberoad::admission::overload::{PoolPressure, WaitingRequest};
 use jujuberoad::peer::PoolWaiting;
 
+use super::overload_plan::{CLASSES, Digests, OverloadEnds, OverloadPlan, pool_class, pool_key};
+
 const STEP_MS: u64 = 5;
 const END_MS: u64 = 10_000;
 const ROUTERS: usize = 12;
@@ -19,42 +19,7 @@
 const TIMEOUT_MS: u64 = 4_000;
 const DIGEST_INTERVAL_MS: u64 = 100;
 const DIGEST_LIFETIME_MS: u64 = 600;
-/// Pool, priority, team, objective in milliseconds and requests per second.
-pub const CLASSES: [(usize, u32, &str, u64, f64); 5] = [
-    (0, 0, "urgent", 200, 60.0),
-    (0, 1, "east", 300, 35.0),
-    (0, 1, "west", 300, 35.0),
-    (1, 1, "east", 500, 60.0),
-    (1, 1, "west", 500, 60.0),
-];
-
-/// What happens to the digests of routers.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Digests {
-    #[default]
-    Live,
-    Missing,
-    /// None is sent after this time.
-    EndAt(u64),
-    /// The routers below this index send none.
-    OlderRouters(usize),
-}
-
-#[derive(Clone)]
-pub struct OverloadPlan {
-    /// Load factor by class, router and time.
-    pub load: fn(usize, usize, u64) -> f64,
-    /// Targets of each pool that are lost at 2 s.
-    pub lost_targets: usize,
-    /// A router that is lost at 4 s, with its callers.
-    pub lost_router: Option<usize>,
-    /// How often a refused caller returns, and whether it does so at once.
-    pub returns: u32,
-    pub at_once: bool,
-    pub digests: Digests,
-    pub is_ordered: bool,
-}
-
+const PEER_SUM_LIFETIME_MS: u64 = 50;
 #[derive(Clone)]
 struct Call {
     class: usize,
@@ -75,13 +40,6 @@
     ends_ms: u64,
 }
 
-/// Ends of requests by class.
-#[derive(Default)]
-pub struct OverloadEnds {
-    /// On time, late, refused and lost with their router.
-    ends: [[u32; 4]; CLASSES.len()],
-}
-
 pub struct OverloadSim {
     plan: OverloadPlan,
     random: fastrand::Rng,
@@ -94,26 +52,11 @@
     runs: Vec<Run>,
     own: Vec<PoolActivity>,
     digests: BTreeMap<usize, (u64, Vec<PoolWaiting>)>,
+    /// Sums over peers by router, as last read.
+    peer_sums: Vec<Vec<PoolWaiting>>,
     ends: OverloadEnds,
 }
 
-fn pool_key(pool: usize) -> PoolKey {
-    let model = Some(["large", "small"][pool].into());
-    let service = "chat".into();
-    PoolKey { service, model }
-}
-
-fn pool_class(class: usize) -> PoolClass {
-    let (pool, priority, team, ..) = CLASSES[class];
-    let team = Some(team.into());
-    let pool = pool_key(pool);
-    PoolClass {
-        pool,
-        priority,
-        team,
-    }
-}
-
 impl OverloadSim {
     /// Adds up the ends of one run for each seed.
     pub fn run(plan: &OverloadPlan, seeds: u64) -> OverloadEnds {
@@ -144,6 +87,7 @@
             runs: Vec::new(),
             own: vec![PoolActivity::default(); ROUTERS],
             digests: BTreeMap::new(),
+            peer_sums: vec![Vec::new(); ROUTERS],
             ends: OverloadEnds::default(),
         }
     }
@@ -251,13 +195,19 @@
     }
 
     fn pressure(&mut self, pool: usize, router: usize) -> PoolPressure {
+        if !self.plan.is_ordered {
+            return PoolPressure::default();
+        }
         let now = self.at(self.now_ms);
         let own = self.own[router].snapshot(now);
-        let fresh = self.digests.iter().filter(|(peer, (sent, _))| {
-            **peer != router && self.now_ms < sent + DIGEST_LIFETIME_MS
-        });
-        let peers: Vec<PoolWaiting> = fresh.flat_map(|(_, (_, digest))| digest.clone()).collect();
-        PoolPressure::new(&pool_key(pool), &own, &peers)
+        if self.now_ms.is_multiple_of(PEER_SUM_LIFETIME_MS) {
+            let fresh = self.digests.iter().filter(|(peer, (sent, _))| {
+                **peer != router && self.now_ms < sent + DIGEST_LIFETIME_MS
+            });
+            let counts = fresh.flat_map(|(_, (_, digest))| digest.clone());
+            self.peer_sums[router] = PoolPressure::sum_classes(counts.collect());
+        }
+        PoolPressure::new(&pool_key(pool), &own, &self.peer_sums[router])
     }
 
     fn serve(&mut self) {
@@ -269,10 +219,10 @@
             let (mut calls, others): (Vec<Call>, _) =
                 waiting.partition(|call| call.router == router && CLASSES[call.class].0 == pool);
             self.waiting = others;
+            let pressure = self.pressure(pool, router);
             if calls.is_empty() {
                 continue;
             }
-            let pressure = self.pressure(pool, router);
             let objective = |call: &Call| CLASSES[call.class].3;
             calls.sort_by_key(|call| match self.plan.is_ordered {
                 true => (Some(call.request.rank(call.number, &pressure, now)), 0, 0),
@@ -393,23 +343,3 @@
         true
     }
 }
-
-impl OverloadEnds {
-    /// Writes a line for each class and one for their sum.
-    pub fn describe(&self, name: &str, table: &mut String) {
-        let mut total = [0; 4];
-        let mut add_line = |label: &str, [on_time, late, refused, lost]: [u32; 4]| {
-            writeln!(
-                table,
-                "{name:7} {label:15} {on_time:5} {late:5} {refused:7} {lost:4}"
-            )
-            .unwrap();
-        };
-        for ((pool, priority, team, ..), ends) in CLASSES.iter().zip(self.ends) {
-            let label = format!("{} p{priority} {team}", ["large", "small"][*pool]);
-            add_line(&label, ends);
-            total = std::array::from_fn(|index| total[index] + ends[index]);
-        }
-        add_line("all", total);
-    }
-}
