gateway: requests with the order do not wait for resting endpoints beyond their objective

Change: a request waits for a rest or for a rate only while it can be on time. Tests of the return times of refused callers and of the count of ended requests.

--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -98,8 +98,11 @@
         if !core.handles_overload() {
             return TargetQuery::new(pool, priority, prompt_tokens, queue_deadline);
         }
+        // Endpoints that rest or limit their rate for longer have no room to wait for; a late
+        // request waits only for slots.
         let waiting = self.waiting_request(core);
-        TargetQuery::new(pool, priority, prompt_tokens, waiting.give_up_at).with_order(waiting)
+        let queue_deadline = self.deadline.min(waiting.late_at);
+        TargetQuery::new(pool, priority, prompt_tokens, queue_deadline).with_order(waiting)
     }
 
     /// Returns the place of the request in the order for overloaded fleets.
--- a/lib/tests/test_overload.rs
+++ b/lib/tests/test_overload.rs
@@ -6,7 +6,10 @@
 
 mod testutils;
 
-use testutils::overload_plan::{Digests, OverloadPlan};
+use std::time::{Duration, Instant};
+
+use jujuberoad::admission::overload::{PoolActivity, WaitEstimate, retry_at};
+use testutils::overload_plan::{Digests, OverloadPlan, pool_class};
 use testutils::overload_sim::OverloadSim;
 
 /// Runs that are added up in a table, one for each seed.
@@ -151,3 +154,34 @@
         ..plan(burst_on_all)
     }));
 }
+
+/// A caller that is told to return after a third of its time gives up, and callers that all return
+/// when room is expected form the next wave.
+#[test]
+fn refused_callers_return_in_time_and_spread() {
+    let now = Instant::now();
+    for remaining_ms in [0, 100, 900, 4_000] {
+        for ahead in [0, 30, 1_000] {
+            let remaining = Duration::from_millis(remaining_ms);
+            let estimate = WaitEstimate::new(ahead, 100, now);
+            let first = retry_at(estimate, now + remaining, 0.0, now);
+            let last = retry_at(estimate, now + remaining, 1.0, now);
+            assert!(last - now <= remaining / 3, "{remaining:?} {ahead}");
+            assert!(last - first >= remaining.min(Duration::from_millis(900)) / 9);
+        }
+    }
+}
+
+/// Requests that ended long ago would make a pool that has lost its targets look fast.
+#[test]
+fn ended_requests_count_for_a_second() {
+    let now = Instant::now();
+    let mut activity = PoolActivity::default();
+    let class = pool_class(0);
+    activity.begin_run(&class);
+    assert_eq!(activity.snapshot(now)[0].running, 1);
+    activity.end_run(&class, now);
+    let later = |ms| now + Duration::from_millis(ms);
+    assert_eq!(activity.snapshot(later(999))[0].finished, 1);
+    assert!(activity.snapshot(later(1_000)).is_empty());
+}
