lib: conversions start from the shortages of the last sample

Shortages were worked out anew in each planning round, so that a group could be converted up to a sample before the log line that says why.

--- a/lib/src/fleet/demand/demand_monitor.rs
+++ b/lib/src/fleet/demand/demand_monitor.rs
@@ -31,9 +31,9 @@
     }
 
     /// Returns the shortages of a service, the shortest model first.
-    pub fn shortages(&self, service: &str, now: Instant) -> Vec<ModelShortage> {
+    pub fn shortages(&self, service: &str, now: Instant) -> &[ModelShortage] {
         let demand = self.services.get(service);
-        demand.map_or(Vec::new(), |demand| demand.shortages(now))
+        demand.map_or(&[], |demand| demand.shortages(now))
     }
 
     /// Returns the present use of a model's slots, where 1.0 is all of them.
--- a/lib/src/fleet/demand/service_demand.rs
+++ b/lib/src/fleet/demand/service_demand.rs
@@ -33,8 +33,8 @@
     sampled_at: Option<Instant>,
     /// Time since which the first model has used far more of its slots than the second.
     uneven_since: BTreeMap<(ModelId, ModelId), Instant>,
-    /// Shortages that have been returned by `observe` and still hold.
-    reported: Vec<ModelShortage>,
+    /// Shortages as of the last sample, the shortest model first.
+    shortages: Vec<ModelShortage>,
 }
 
 impl ServiceDemand {
@@ -52,10 +52,10 @@
             pool.observe(sample, now);
         }
         self.compare_models(now);
-        let shortages = self.shortages(now);
+        let shortages = self.find_shortages(now);
         let mut new = shortages.clone();
-        new.retain(|shortage| !self.reported.contains(shortage));
-        self.reported = shortages;
+        new.retain(|shortage| !self.shortages.contains(shortage));
+        self.shortages = shortages;
         new
     }
 
@@ -78,11 +78,13 @@
     }
 
     /// Returns the pairs of a short model and one with far less use, the shortest first.
-    pub(super) fn shortages(&self, now: Instant) -> Vec<ModelShortage> {
+    pub(super) fn shortages(&self, now: Instant) -> &[ModelShortage] {
+        let is_recent = self.sampled_at.is_some_and(|at| now <= at + MAX_SAMPLE_GAP);
+        if is_recent { &self.shortages } else { &[] }
+    }
+
+    fn find_shortages(&self, now: Instant) -> Vec<ModelShortage> {
         let mut shortages = Vec::new();
-        if self.sampled_at.is_none_or(|at| at + MAX_SAMPLE_GAP < now) {
-            return shortages;
-        }
         for ((short, donor), since) in &self.uneven_since {
             if now < *since + SHORT_TIME || !self.is_uneven(short, donor, WAVE_SPAN, now) {
                 continue;
