--- a/gateway/src/digest_exchange.rs
+++ b/gateway/src/digest_exchange.rs
@@ -167,7 +167,6 @@
         });
         rates.get(endpoint).copied().unwrap_or_default()
     };
-    let now = Instant::now();
     let era = core.backends.store.eras().newest();
     let cpu = core.settings.cpu_millicores;
     let handles_overload = core.handles_overload();
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -34,7 +34,6 @@
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
 use jujuberoad::pace::PaceTable;
-use jujuberoad::peer::PoolWaiting;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -369,12 +368,6 @@
         }
     }
 
-    /// Returns what peers report of their waiting and running requests; empty without digests, so
-    /// that this router decides from its own counts.
-    pub(crate) fn fleet_waiting(&self, now: Instant) -> Vec<PoolWaiting> {
-        self.digests.fleet_waiting(now)
-    }
-
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
