--- a/lib/tests/test_hub_digests.rs
+++ b/lib/tests/test_hub_digests.rs
@@ -79,6 +79,22 @@
     }
 }
 
+/// Guards against requests that wait somewhere and are missing or counted twice elsewhere.
+#[test]
+fn what_waits_counts_once_at_each_router() {
+    let mut sim = DigestSim::fleet(6, 25);
+    sim.waiting = pools();
+    sim.run_ms(2 * START_MS);
+    for router in &sim.routers {
+        let waiting = router.planner.sum().fleet_waiting(sim.now);
+        assert_eq!(waiting.len(), sim.waiting.len());
+        let is_sum = |entry: &PoolWaiting| {
+            (entry.waiting, entry.running, entry.finished) == (3 * 30, 7 * 30, 9 * 30)
+        };
+        assert!(waiting.iter().all(is_sum), "{}: {waiting:?}", router.id);
+    }
+}
+
 /// Guards against hubs that make what routers know of each other's load older.
 #[test]
 fn load_is_known_sooner_through_hubs() {
