lib: a pause of a process costs no hub

Cause: a member whose process does not run for 600 ms, as one of 0.12 core may under load, took its hub for lost though the digests were in its socket, and avoided the hub for 15 s. A hub dropped its members in the same way.

Change: hubs and members may be silent for as much longer as the round of digests is late. Types of the exchange and the traffic tests get files of their own.

--- a/lib/src/fleet/digest_planner.rs
+++ b/lib/src/fleet/digest_planner.rs
@@ -3,15 +3,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::DigestInput;
 use super::DigestRound;
+use super::DigestSend;
 use super::DigestSum;
+use super::DigestTick;
 use super::LoadTable;
-use crate::ids::EndpointId;
 use crate::ids::RouterId;
 use crate::ids::ZoneId;
 use crate::membership::DigestKind;
 use crate::membership::HUB_SILENCE;
-use crate::membership::HubStep;
 use crate::membership::HubTable;
 use crate::membership::LoadsUse;
 use crate::membership::MEMBER_INTERVAL;
@@ -36,40 +37,6 @@
 /// does not change while a member looks for a hub.
 const UNEVEN_TIME: Duration = Duration::from_millis(15_000);
 
-/// A message and the peers that get it, by their position in the list of peers.
-#[derive(Clone, Debug)]
-pub struct DigestSend {
-    /// The message, which is the same for all of them.
-    pub message: PeerMessage,
-    /// Positions of the receivers.
-    pub receivers: Vec<usize>,
-}
-
-/// What is due at one time.
-#[derive(Clone, Debug)]
-pub struct DigestTick {
-    /// Changes of the hub.
-    pub step: HubStep,
-    /// Messages in the order in which they are sent.
-    pub sends: Vec<DigestSend>,
-    /// When the next tick is due.
-    pub next_at: Instant,
-}
-
-/// State of a router at the time of a tick.
-pub struct DigestInput<'a> {
-    /// Digest of the router alone, without outcomes.
-    pub own: PeerDigest,
-    /// Load of the endpoints.
-    pub loads: &'a LoadTable,
-    /// All other routers, in ascending order.
-    pub peers: &'a [RouterId],
-    /// Returns the speed of an endpoint, by which pending tokens age on their way through hubs.
-    pub prefill_ms_per_token: &'a dyn Fn(&EndpointId) -> f64,
-    /// Whether routers announce themselves and exchange digests without members.
-    pub always_announces: bool,
-}
-
 /// Plans the digests of one router.
 #[derive(Clone, Debug)]
 pub struct DigestPlanner {
@@ -81,6 +48,8 @@
     /// digest next.
     plain_at: Option<Instant>,
     uneven_until: Option<Instant>,
+    /// When the next tick is due.
+    tick_at: Option<Instant>,
 }
 
 impl DigestPlanner {
@@ -93,6 +62,7 @@
             interval: DIGEST_INTERVAL,
             plain_at: None,
             uneven_until: None,
+            tick_at: None,
         }
     }
 
@@ -205,6 +175,9 @@
     /// Returns what to send at `now`. The loads must not hold expired reports.
     pub fn tick(&mut self, input: DigestInput<'_>, now: Instant) -> DigestTick {
         let peers = input.peers;
+        if let Some(due_at) = self.tick_at {
+            self.table.excuse(now.saturating_duration_since(due_at));
+        }
         let is_peer = |id: &RouterId| peers.binary_search(id).is_ok();
         let step = self.table.step(&is_peer, input.always_announces, now);
         self.sum.expire(now);
@@ -226,10 +199,12 @@
         } else {
             sends.extend(self.plan_hub(input, now));
         }
+        let next_at = now + self.interval;
+        self.tick_at = Some(next_at);
         DigestTick {
             step,
             sends,
-            next_at: now + self.interval,
+            next_at,
         }
     }
 
--- a/lib/src/membership/hub_table.rs
+++ b/lib/src/membership/hub_table.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use strum::Display;
-
+use super::DigestKind;
+use super::HubStep;
+use super::LoadsUse;
 use super::rendezvous_score;
 use crate::ids::RouterId;
 use crate::ids::ZoneId;
@@ -34,46 +35,6 @@
 /// Time between two queries of a member to a peer that sends it loads though it has a hub.
 const REMINDER_INTERVAL: Duration = Duration::from_millis(10_000);
 
-/// What a router sends to a peer.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
-#[strum(serialize_all = "kebab-case")]
-pub enum DigestKind {
-    /// `Loads`, which every build reads.
-    Plain,
-    /// The digest of the sender and its members, for another hub.
-    Hub,
-    /// The digest of the whole fleet, for a member of the sender.
-    Member,
-    /// Nothing: the peer gets the digest of the fleet from another hub.
-    Nothing,
-}
-
-/// What the receiver of `Loads` does with them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LoadsUse {
-    /// Counts them.
-    Count,
-    /// Drops them, because the hub of the receiver reports them as well.
-    Drop,
-    /// Drops them and tells the sender by a query that it need not send them.
-    DropAndQuery,
-}
-
-/// What has changed since the last step, and what a router has to send.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HubStep {
-    /// Hub that this router has given up.
-    pub lost: Option<RouterId>,
-    /// Hub that this router leaves for another one, though it works.
-    pub left: Option<RouterId>,
-    /// Hub that this router has chosen.
-    pub chosen: Option<RouterId>,
-    /// Whether to send `HubQuery` to all peers.
-    pub queries: bool,
-    /// Whether to send `HubInfo` to all peers.
-    pub announces: bool,
-}
-
 #[derive(Clone, Debug)]
 struct KnownHub {
     zone: ZoneId,
@@ -242,6 +203,17 @@
         LoadsUse::DropAndQuery
     }
 
+    /// Prolongs the time for which a hub or a member may be silent by the time for which this
+    /// process has not run: their messages may wait in the socket.
+    pub fn excuse(&mut self, pause: Duration) {
+        if let Some(hub) = &mut self.hub {
+            hub.silent_at += pause;
+        }
+        for until in self.members.values_mut() {
+            *until += pause;
+        }
+    }
+
     /// Drops what has expired and returns what to send now. `is_peer` tells which routers exist;
     /// `always_announces` makes a router that can be a hub announce itself without members.
     pub fn step(
--- a/lib/src/membership/mod.rs
+++ b/lib/src/membership/mod.rs
@@ -2,9 +2,12 @@
 //! whether a router's view of the stored records is recent enough to act on.
 
 mod confirmed_version;
+mod digest_kind;
 mod home_table;
+mod hub_step;
 mod hub_table;
 mod lease_term;
+mod loads_use;
 mod outage_tally;
 mod relay_plan;
 mod router_entry;
@@ -15,15 +18,15 @@
 mod view_key;
 
 pub use confirmed_version::ConfirmedVersion;
+pub use digest_kind::DigestKind;
 pub use home_table::HomeTable;
 pub(crate) use home_table::rendezvous_score;
-pub use hub_table::DigestKind;
+pub use hub_step::HubStep;
 pub use hub_table::HUB_SILENCE;
-pub use hub_table::HubStep;
 pub use hub_table::HubTable;
-pub use hub_table::LoadsUse;
 pub use hub_table::MEMBER_INTERVAL;
 pub use lease_term::LeaseTerm;
+pub use loads_use::LoadsUse;
 pub use outage_tally::OutageTally;
 pub use outage_tally::PeerVote;
 pub use outage_tally::VOTE_VALID_MS;
--- a/lib/tests/testutils/digest_sim.rs
+++ b/lib/tests/testutils/digest_sim.rs
@@ -36,7 +36,10 @@
     pub planner: DigestPlanner,
     pub loads: LoadTable,
     pub is_up: bool,
+    /// Number of hubs that it has lost.
+    pub losses: u32,
     pub next_at: Instant,
+    paused_until: Option<Instant>,
     pub sent_bytes: u64,
     pub received_bytes: u64,
     pub sent: u64,
@@ -146,6 +149,13 @@
         self.routers[index] = SimRouter::new(id, role, index, self.now);
     }
 
+    /// Lets a process rest; what it is sent meanwhile arrives after its next tick.
+    pub fn pause(&mut self, index: usize, span: u64) {
+        let router = &mut self.routers[index];
+        router.next_at = router.next_at.max(self.now) + Duration::from_millis(span);
+        router.paused_until = Some(router.next_at);
+    }
+
     pub fn hub_of(&self, index: usize) -> Option<usize> {
         let hub = self.routers[index].planner.table().hub()?;
         self.ids.iter().position(|id| id == hub)
@@ -229,6 +239,7 @@
         };
         let tick = router.planner.tick(input, now);
         router.next_at = tick.next_at;
+        router.losses += u32::from(tick.step.lost.is_some());
         for send in tick.sends {
             let receivers = send.receivers.iter().map(|at| positions[*at]).collect();
             self.send(index, receivers, send.message);
@@ -253,7 +264,9 @@
                 continue;
             }
             self.serial += 1;
-            let key = (self.now + LATENCY, self.serial);
+            let resumed_at = self.routers[to].paused_until.unwrap_or(self.now);
+            let arrives_at = resumed_at.max(self.now) + LATENCY;
+            let key = (arrives_at, self.serial);
             self.inbox
                 .insert(key, (from, to, frame.message.clone(), bytes));
         }
@@ -295,7 +308,9 @@
             role,
             loads: LoadTable::default(),
             is_up: true,
+            losses: 0,
             next_at,
+            paused_until: None,
             sent_bytes: 0,
             received_bytes: 0,
             sent: 0,
@@ -331,3 +346,19 @@
         _ => "other",
     }
 }
+
+/// Four pools of two priorities and three teams.
+pub fn pools() -> Vec<PoolWaiting> {
+    let models = ["wide", "slim", "deep", "fast"].into_iter();
+    let keys = models.flat_map(|model| (0..6).map(move |number| (model, number)));
+    keys.map(|(model, number)| PoolWaiting {
+        service: "engines".into(),
+        model: Some(model.into()),
+        priority: number % 2,
+        team: Some(format!("team-{}", number / 2).into()),
+        waiting: 3,
+        running: 7,
+        finished: 9,
+    })
+    .collect()
+}
