--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -34,7 +34,6 @@
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
 use jujuberoad::pace::PaceTable;
-use jujuberoad::peer::PoolWaiting;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -58,6 +57,7 @@
 use crate::stall_monitor::StallMonitor;
 use crate::stop_plan::StopPlan;
 use crate::store_session::StoreSession;
+use crate::version_notes::VersionNotes;
 
 /// Time for which an endpoint that did not answer is avoided, unless the registry
 /// shows a change earlier. Registry entries of dead endpoints expire after 3.6 s.
@@ -93,6 +93,8 @@
     pub(crate) digests: DigestExchange,
     /// How many requests each target may have in progress; locked after `loads`.
     pub(crate) paces: Mutex<PaceTable>,
+    /// Version of the operator's keys that this router has applied.
+    pub(crate) version_notes: VersionNotes,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
@@ -366,12 +368,6 @@
         }
     }
 
-    /// Returns what peers report of their waiting and running requests; empty without digests, so
-    /// that this router decides from its own counts.
-    pub(crate) fn fleet_waiting(&self, now: Instant) -> Vec<PoolWaiting> {
-        self.digests.fleet_waiting(now)
-    }
-
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/gateway/src/pool_board.rs
+++ b/gateway/src/pool_board.rs
@@ -51,7 +51,7 @@
     let peers = {
         let mut sum = core.pool_activity.peers.lock().expect("peer sum lock");
         if sum.valid_until.is_none_or(|until| now >= until) {
-            sum.counts = PoolPressure::sum_classes(core.fleet_waiting(now)).into();
+            sum.counts = PoolPressure::sum_classes(core.digests.fleet_waiting(now)).into();
             sum.valid_until = Some(now + PEER_SUM_LIFETIME);
         }
         Arc::clone(&sum.counts)
