gateway: a switch for each decision of an overloaded fleet

Change: settings admission, pace and demand in [overload]; each takes effect while the mode is in force.

--- a/gateway/src/caller_request.rs
+++ b/gateway/src/caller_request.rs
@@ -95,7 +95,7 @@
         let queue_deadline = self.deadline.min(self.received_at + wait);
         let prompt_tokens = self.head.prompt_tokens;
         let pool = self.pool.clone();
-        if !core.handles_overload() {
+        if !core.orders_waiting() {
             return TargetQuery::new(pool, priority, prompt_tokens, queue_deadline);
         }
         // Endpoints that rest or limit their rate for longer have no room to wait for; a late
--- a/gateway/src/demand_sampler.rs
+++ b/gateway/src/demand_sampler.rs
@@ -36,7 +36,7 @@
         unreachable: &BTreeSet<EndpointId>,
         now: Instant,
     ) -> Option<&DemandMonitor> {
-        if !core.handles_overload() {
+        if !core.follows_demand() {
             self.clear(core);
             return None;
         }
--- a/gateway/src/digest_exchange.rs
+++ b/gateway/src/digest_exchange.rs
@@ -171,7 +171,7 @@
     let cpu = core.settings.cpu_millicores;
     let handles_overload = core.handles_overload();
     let now = Instant::now();
-    let waiting = if handles_overload {
+    let waiting = if core.orders_waiting() {
         core.pool_activity.own_waiting(now)
     } else {
         Vec::new()
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -368,6 +368,21 @@
         }
     }
 
+    /// Returns whether requests are admitted by the load of the fleet.
+    pub(crate) fn orders_waiting(&self) -> bool {
+        self.settings.orders_waiting && self.handles_overload()
+    }
+
+    /// Returns whether targets are paced.
+    pub(crate) fn paces_targets(&self) -> bool {
+        self.settings.paces_targets && self.handles_overload()
+    }
+
+    /// Returns whether groups follow demand.
+    pub(crate) fn follows_demand(&self) -> bool {
+        self.settings.follows_demand && self.handles_overload()
+    }
+
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -71,6 +71,12 @@
     pub max_connections: u64,
     /// When the decisions for overloaded fleets are in force.
     pub overload_mode: OverloadMode,
+    /// Whether requests are admitted by the fleet's load while these decisions are in force.
+    pub orders_waiting: bool,
+    /// Whether targets are paced while these decisions are in force.
+    pub paces_targets: bool,
+    /// Whether groups follow demand while these decisions are in force.
+    pub follows_demand: bool,
     /// Routers with a smaller processor share exchange load with one peer only.
     pub member_below_millicores: u32,
 }
@@ -144,6 +150,9 @@
         let overload = section("overload");
         let mut reader = SectionReader::new(&overload, &mut problems);
         let overload_mode = overload_mode(&mut reader);
+        let orders_waiting = reader.flag("admission", true);
+        let paces_targets = reader.flag("pace", true);
+        let follows_demand = reader.flag("demand", true);
         let member_below_millicores = millicores(&mut reader, "member_below_cpu", 0.25);
         reader.finish();
 
@@ -173,6 +182,9 @@
             body_memory_bytes,
             max_connections,
             overload_mode,
+            orders_waiting,
+            paces_targets,
+            follows_demand,
             member_below_millicores,
         })
     }
--- a/gateway/src/reserved_target.rs
+++ b/gateway/src/reserved_target.rs
@@ -284,7 +284,7 @@
             avoid_list.is_avoided(target, now) || core.stalls.is_suspect(&target.endpoint)
         };
         let mut paces = core
-            .handles_overload()
+            .paces_targets()
             .then(|| target_paces::lock_current(core, &view.targets, &loads, &is_excluded, now));
         let bound = |target: &ServingTarget| {
             let paces = paces.as_ref();
--- a/gateway/src/target_paces.rs
+++ b/gateway/src/target_paces.rs
@@ -40,7 +40,7 @@
     target: &ServingTarget,
     sent_at: Instant,
 ) {
-    if !core.handles_overload() {
+    if !core.paces_targets() {
         return;
     }
     let now = Instant::now();
@@ -67,7 +67,7 @@
 /// Takes over the answers that peers have reported since the last call.
 pub(crate) fn adopt_outcomes(core: &GatewayCore) {
     let outcomes: Vec<_> = core.digests.take_outcomes().into_iter().collect();
-    if outcomes.is_empty() || !core.handles_overload() {
+    if outcomes.is_empty() || !core.paces_targets() {
         return;
     }
     let loads = core.loads.lock().expect("load lock");
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -81,7 +81,7 @@
             named.push((section.clone(), key.to_owned()));
         }
     }
-    assert_eq!(named.len(), 22);
+    assert_eq!(named.len(), 25);
     for (section, key) in named {
         // A known key with an invalid value must not be reported as unknown.
         let problems = render_result(&format!("{section}\n{key} = x\nno_such_key = 1\n"));
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -59,7 +59,6 @@
 pub use demand::ModelShortage;
 pub use demand::PoolDemand;
 pub use demand::PoolSample;
-pub use digest_planner::DigestInput;
 pub use digest_planner::DigestPlanner;
 pub use digest_round::DigestRound;
 pub use digest_sum::DigestSum;
