gateway: the decisions of an overloaded fleet are off by default

Change: admission, pace and demand default to no; without admission and paces a fleet without members sends the messages that it sent before.

--- a/gateway/src/digest_exchange.rs
+++ b/gateway/src/digest_exchange.rs
@@ -169,7 +169,6 @@
     };
     let era = core.backends.store.eras().newest();
     let cpu = core.settings.cpu_millicores;
-    let handles_overload = core.handles_overload();
     let now = Instant::now();
     let waiting = if core.orders_waiting() {
         core.pool_activity.own_waiting(now)
@@ -194,7 +193,8 @@
         loads: &loads,
         peers: &peers,
         prefill_ms_per_token: &rate,
-        always_announces: handles_overload,
+        // Otherwise the messages of a fleet without members stay as they were.
+        always_announces: core.orders_waiting() || core.paces_targets(),
     };
     let tick = planner.tick(input, now);
     let is_uneven = planner.is_uneven(now);
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -360,7 +360,7 @@
     }
 
     /// Returns whether the decisions for overloaded fleets are in force.
-    pub(crate) fn handles_overload(&self) -> bool {
+    fn handles_overload(&self) -> bool {
         match self.settings.overload_mode {
             OverloadMode::No => false,
             OverloadMode::Yes => true,
--- a/gateway/src/gateway_settings.rs
+++ b/gateway/src/gateway_settings.rs
@@ -150,9 +150,9 @@
         let overload = section("overload");
         let mut reader = SectionReader::new(&overload, &mut problems);
         let overload_mode = overload_mode(&mut reader);
-        let orders_waiting = reader.flag("admission", true);
-        let paces_targets = reader.flag("pace", true);
-        let follows_demand = reader.flag("demand", true);
+        let orders_waiting = reader.flag("admission", false);
+        let paces_targets = reader.flag("pace", false);
+        let follows_demand = reader.flag("demand", false);
         let member_below_millicores = millicores(&mut reader, "member_below_cpu", 0.25);
         reader.finish();
 
