--- a/gateway/src/buffered_call.rs
+++ b/gateway/src/buffered_call.rs
@@ -22,6 +22,7 @@
 use crate::relay_call::RelayEnd;
 use crate::reserved_target::ReservedTarget;
 use crate::run_watch::RunWatch;
+use crate::target_paces;
 
 /// Largest response that is buffered; the store's largest values are 1 MB.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -158,7 +159,8 @@
             RelayEnd::Answered(relayed) => {
                 let (parts, body) = relayed.response.into_parts();
                 let deadline = self.request.deadline;
-                match read_whole(body, MAX_ANSWER_BYTES, relayed.address, deadline).await {
+                let memory = &self.core.caller_memory.bodies;
+                match read_whole(memory, body, MAX_ANSWER_BYTES, relayed.address, deadline).await {
                     Ok(body) => {
                         self.runs += attempts;
                         let response = Response::from_parts(parts, full_body(body));
@@ -175,6 +177,7 @@
 
     async fn attempt(&self, reserved: &ReservedTarget) -> AttemptEnd {
         let address = reserved.target.address;
+        let sent_at = Instant::now();
         let mut run = RunWatch::new(&self.core, &self.request, &reserved.target.endpoint);
         let answer = match endpoint_call::send(&self.core, &self.request, reserved, None).await {
             Ok(answer) => answer,
@@ -205,7 +208,14 @@
             return AttemptEnd::NotRun(error);
         }
         let (parts, body) = answer.response.into_parts();
-        let read = read_whole(body, MAX_ANSWER_BYTES, address, self.request.deadline);
+        let memory = &self.core.caller_memory.bodies;
+        let read = read_whole(
+            memory,
+            body,
+            MAX_ANSWER_BYTES,
+            address,
+            self.request.deadline,
+        );
         let body = match read.await {
             Ok(body) => body,
             Err(error) => {
@@ -215,6 +225,10 @@
             }
         };
         run.record_complete();
+        if !status.is_server_error() {
+            let target = &reserved.target;
+            target_paces::observe_answer(&self.core, &self.request, target, sent_at);
+        }
         let response = Response::from_parts(parts, full_body(body));
         AttemptEnd::Answer(Box::new(response))
     }
@@ -306,25 +320,29 @@
         .map(|at| at.elapsed().as_millis() as u64);
     let targets = view.targets.pool(&request.pool);
     let avoided = core.count_avoided(targets);
-    core.log.write(
-        kind,
-        json!({
-            "request": request.id,
-            "route": request.route.name,
-            "team": request.team,
-            "status": answer.status.as_u16(),
-            "outcome": outcome,
-            "reason": answer.reason,
-            "runs": runs,
-            "total_ms": request.age_ms(),
-            "fingerprint": request.fingerprint,
-            "prompt_parts": request.head.shared_prompt_parts[..],
-            "config": request.config_version,
-            "registry": view.registry_version,
-            "registry_age_ms": registry_age,
-            "targets": targets.len(),
-            "avoided": avoided,
-            "waiting": core.queue.len(),
-        }),
-    );
+    let mut line = json!({
+        "request": request.id,
+        "route": request.route.name,
+        "team": request.team,
+        "status": answer.status.as_u16(),
+        "outcome": outcome,
+        "reason": answer.reason,
+        "runs": runs,
+        "total_ms": request.age_ms(),
+        "fingerprint": request.fingerprint,
+        "prompt_parts": request.head.shared_prompt_parts[..],
+        "config": request.config_version,
+        "registry": view.registry_version,
+        "registry_age_ms": registry_age,
+        "targets": targets.len(),
+        "avoided": avoided,
+        "waiting": core.queue.len(),
+    });
+    if let Some(wait) = answer.expected_wait {
+        let until_room = wait.room_at.saturating_duration_since(Instant::now());
+        line["expected_wait_ms"] = json!(until_room.as_millis() as u64);
+        line["ahead"] = json!(wait.ahead);
+        line["finished_per_s"] = json!(wait.finished_per_second);
+    }
+    core.log.write(kind, line);
 }
--- a/gateway/src/gateway_core.rs
+++ b/gateway/src/gateway_core.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -32,6 +33,7 @@
 use jujuberoad::ids::ModelId;
 use jujuberoad::ids::RouterId;
 use jujuberoad::ids::ServiceId;
+use jujuberoad::pace::PaceTable;
 use jujuberoad_node::backends::StoreError;
 use jujuberoad_node::http::HttpPool;
 use jujuberoad_node::peer::PeerSocket;
@@ -40,17 +42,22 @@
 use jujuberoad_node::runtime::LogKind;
 use serde_json::json;
 
+use crate::caller_memory::CallerMemory;
+use crate::digest_exchange::DigestExchange;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
 use crate::outage_clock::OutageClock;
+use crate::overload_mode::OverloadMode;
 use crate::peer_exchange::PendingRelay;
 use crate::poison_guard::PoisonGuard;
+use crate::pool_board::PoolBoard;
 use crate::slot_queue::SlotQueue;
 use crate::stall_monitor::StallMonitor;
 use crate::stop_plan::StopPlan;
 use crate::store_session::StoreSession;
+use crate::version_notes::VersionNotes;
 
 /// Time for which an endpoint that did not answer is avoided, unless the registry
 /// shows a change earlier. Registry entries of dead endpoints expire after 3.6 s.
@@ -82,6 +89,12 @@
     /// Routers that are missing from the list since the store was restored.
     pub(crate) unconfirmed_routers: Mutex<BTreeSet<RouterId>>,
     pub(crate) loads: Mutex<LoadTable>,
+    /// Digests from peers, and what the next ones to them contain.
+    pub(crate) digests: DigestExchange,
+    /// How many requests each target may have in progress; locked after `loads`.
+    pub(crate) paces: Mutex<PaceTable>,
+    /// Version of the operator's keys that this router has applied.
+    pub(crate) version_notes: VersionNotes,
     pub(crate) first_events: Mutex<FirstEventLatency>,
     pub(crate) caller_retries: Mutex<RetryDetector>,
     pub(crate) retry_budget: Mutex<RetryAllowance>,
@@ -102,6 +115,10 @@
     pub(crate) stalls: StallMonitor,
     pub(crate) poison: PoisonGuard,
     pub(crate) queue: SlotQueue,
+    /// Waiting, running and ended requests by pool, priority and team.
+    pub(crate) pool_activity: PoolBoard,
+    /// What callers may make the process hold.
+    pub(crate) caller_memory: CallerMemory,
     pub(crate) session: StoreSession,
     pub(crate) log: DecisionLog,
     pub(crate) metrics: GatewayMetrics,
@@ -113,6 +130,8 @@
     pub(crate) is_forming_groups: AtomicBool,
     /// Whether the registry is currently unreadable.
     pub(crate) is_registry_unavailable: AtomicBool,
+    /// Whether the routers of the fleet are known to differ in their processor shares.
+    pub(crate) is_fleet_uneven: AtomicBool,
     /// Whether any request has been admitted since the process started.
     pub(crate) has_traffic: AtomicBool,
 }
@@ -340,6 +359,30 @@
         plan.is_none_or(|plan| plan.may_begin(deadline, Instant::now()))
     }
 
+    /// Returns whether the decisions for overloaded fleets are in force.
+    fn handles_overload(&self) -> bool {
+        match self.settings.overload_mode {
+            OverloadMode::No => false,
+            OverloadMode::Yes => true,
+            OverloadMode::Uneven => self.is_fleet_uneven.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns whether requests are admitted by the load of the fleet.
+    pub(crate) fn orders_waiting(&self) -> bool {
+        self.settings.orders_waiting && self.handles_overload()
+    }
+
+    /// Returns whether targets are paced.
+    pub(crate) fn paces_targets(&self) -> bool {
+        self.settings.paces_targets && self.handles_overload()
+    }
+
+    /// Returns whether groups follow demand.
+    pub(crate) fn follows_demand(&self) -> bool {
+        self.settings.follows_demand && self.handles_overload()
+    }
+
     /// Returns whether the process is shutting down.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_plan.get().is_some()
--- a/gateway/src/gateway_daemon.rs
+++ b/gateway/src/gateway_daemon.rs
@@ -30,6 +30,8 @@
 use smol::net::TcpListener;
 
 use crate::caller_api::CallerApi;
+use crate::caller_memory::CallerMemory;
+use crate::digest_exchange::DigestExchange;
 use crate::era_watch;
 use crate::fleet_cache::FleetCache;
 use crate::gateway_backends::GatewayBackends;
@@ -47,6 +49,7 @@
 use crate::placer_loop;
 use crate::poison_guard;
 use crate::poison_guard::PoisonGuard;
+use crate::pool_board::PoolBoard;
 use crate::readiness_api::ReadinessApi;
 use crate::registry_sink::RegistrySink;
 use crate::relay_api::RelayApi;
@@ -60,6 +63,7 @@
 use crate::store_session;
 use crate::store_session::StoreSession;
 use crate::store_watch;
+use crate::version_notes::VersionNotes;
 
 /// Timeout for connecting to an endpoint. A round trip takes a few milliseconds at
 /// most, and the shortest latency objective is 120 ms.
@@ -113,7 +117,9 @@
     let api = CallerApi::new(Arc::clone(&core));
     let relay_api: Arc<dyn HttpHandler> = RelayApi::new(Arc::clone(&core), Arc::clone(&api));
     let relay_server = HttpServer::new(relays, relay_api).with_limits(CALLER_LIMITS);
-    let server = HttpServer::new(callers, api).with_limits(CALLER_LIMITS);
+    let server = HttpServer::new(callers, api)
+        .with_limits(CALLER_LIMITS)
+        .with_bound(Arc::clone(&core.caller_memory.connections));
     let open = [server.open_connections(), relay_server.open_connections()];
     let count_open = || -> usize { open.iter().map(|open| open.load(Ordering::Relaxed)).sum() };
     runtime::spawn(server.run(stop_callers.clone()));
@@ -184,8 +190,11 @@
         settings.retry_fixed,
     );
     let quota_divider = QuotaDivider::new(settings.id.clone(), settings.retry_window_ms);
+    let digests = DigestExchange::new(&settings);
     let log = DecisionLog::new(settings.id.clone());
+    let caller_memory = CallerMemory::new(&settings);
     Arc::new(GatewayCore {
+        caller_memory,
         settings,
         backends,
         fleet: FleetCache::default(),
@@ -196,6 +205,9 @@
         models_without_room: Mutex::default(),
         unconfirmed_routers: Mutex::default(),
         loads: Mutex::new(LoadTable::default()),
+        digests,
+        paces: Mutex::default(),
+        version_notes: VersionNotes::default(),
         first_events: Mutex::default(),
         caller_retries: Mutex::default(),
         retry_budget: Mutex::new(retry_budget),
@@ -211,6 +223,7 @@
         stalls: StallMonitor::default(),
         poison: PoisonGuard::default(),
         queue: SlotQueue::default(),
+        pool_activity: PoolBoard::default(),
         session: StoreSession::default(),
         log,
         metrics: GatewayMetrics::default(),
@@ -218,6 +231,7 @@
         is_placer: false.into(),
         is_forming_groups: false.into(),
         is_registry_unavailable: false.into(),
+        is_fleet_uneven: false.into(),
         has_traffic: false.into(),
     })
 }
--- a/gateway/src/gateway_metrics.rs
+++ b/gateway/src/gateway_metrics.rs
@@ -1,7 +1,10 @@
 //! Metrics of the gateway and the HTTP handler that exposes them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use hyper::Request;
@@ -20,6 +23,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::caller_memory::CallerMemory;
 use crate::gateway_core::GatewayCore;
 
 /// Bucket bounds of the latency histograms in milliseconds, around the latency
@@ -34,18 +38,30 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     call: String,
     result: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ModelLabels {
+    service: String,
+    model: String,
+}
+
 /// All metrics of the process.
 pub(crate) struct GatewayMetrics {
     registry: Registry,
     ended_requests: Family<RequestLabels, Counter>,
     calls: Family<CallLabels, Counter>,
     pub(crate) refusals: Counter,
+    pub(crate) overload_refusals: Counter,
     pub(crate) retries: Counter,
     pub(crate) resumes: Counter,
     pub(crate) probes: Counter,
@@ -62,9 +78,18 @@
     pub(crate) first_event_ms: Histogram,
     total_ms: Histogram,
     pub(crate) models_without_room: Gauge<i64, std::sync::atomic::AtomicI64>,
+    model_use: Family<ModelLabels, Gauge<f64, AtomicU64>>,
     waiting: Gauge<i64, std::sync::atomic::AtomicI64>,
+    waiting_on_time: Family<PriorityLabels, Gauge<i64, std::sync::atomic::AtomicI64>>,
     serving_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
     registry_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+    digest_age_ms: Gauge<i64, std::sync::atomic::AtomicI64>,
+    hub_members: Gauge<i64, std::sync::atomic::AtomicI64>,
+    body_bytes: Gauge<i64, std::sync::atomic::AtomicI64>,
+    body_evictions: Counter,
+    connections_closed: Counter,
+    open_connections: Gauge<i64, std::sync::atomic::AtomicI64>,
+    paced_targets: Gauge<i64, std::sync::atomic::AtomicI64>,
 }
 
 impl Default for GatewayMetrics {
@@ -74,6 +99,7 @@
             ended_requests: Family::default(),
             calls: Family::default(),
             refusals: Counter::<u64, AtomicU64>::default(),
+            overload_refusals: Counter::default(),
             retries: Counter::default(),
             resumes: Counter::default(),
             probes: Counter::default(),
@@ -90,9 +116,18 @@
             first_event_ms: Histogram::new(LATENCY_BOUNDS),
             total_ms: Histogram::new(LATENCY_BOUNDS),
             models_without_room: Gauge::default(),
+            model_use: Family::default(),
             waiting: Gauge::default(),
+            waiting_on_time: Family::default(),
             serving_targets: Gauge::default(),
             registry_age_ms: Gauge::default(),
+            digest_age_ms: Gauge::default(),
+            hub_members: Gauge::default(),
+            body_bytes: Gauge::default(),
+            body_evictions: Counter::default(),
+            connections_closed: Counter::default(),
+            open_connections: Gauge::default(),
+            paced_targets: Gauge::default(),
             registry: Registry::default(),
         };
         registry.register(
@@ -179,11 +214,26 @@
             "Time to the end of a request",
             metrics.total_ms.clone(),
         );
+        registry.register(
+            "model_use",
+            "Requests of all routers relative to the slots, by model, as the placer sees them",
+            metrics.model_use.clone(),
+        );
         registry.register(
             "waiting",
             "Requests that wait for a slot",
             metrics.waiting.clone(),
         );
+        registry.register(
+            "waiting_on_time",
+            "Requests that wait for a slot and can still be on time, by priority",
+            metrics.waiting_on_time.clone(),
+        );
+        registry.register(
+            "overload_refusals",
+            "Requests refused because of their expected wait",
+            metrics.overload_refusals.clone(),
+        );
         let targets = metrics.serving_targets.clone();
         registry.register("serving_targets", "Targets that take requests", targets);
         let age = metrics.registry_age_ms.clone();
@@ -192,6 +242,22 @@
             "Time since the registry was confirmed",
             age,
         );
+        registry.register(
+            "digest_age_ms",
+            "Age of the oldest load report of a peer that counts",
+            metrics.digest_age_ms.clone(),
+        );
+        registry.register(
+            "hub_members",
+            "Routers that have this one as their hub",
+            metrics.hub_members.clone(),
+        );
+        metrics.register_caller_memory(&mut registry);
+        registry.register(
+            "paced_targets",
+            "Targets that may take fewer requests than they have slots",
+            metrics.paced_targets.clone(),
+        );
         Self {
             registry,
             ..metrics
@@ -200,6 +266,40 @@
 }
 
 impl GatewayMetrics {
+    fn register_caller_memory(&self, registry: &mut Registry) {
+        registry.register(
+            "body_bytes",
+            "Memory that bodies of requests and answers have reserved",
+            self.body_bytes.clone(),
+        );
+        registry.register(
+            "body_evictions",
+            "Request bodies that lost their memory to others",
+            self.body_evictions.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Connections of callers closed because too many were open",
+            self.connections_closed.clone(),
+        );
+        let open = self.open_connections.clone();
+        registry.register("open_connections", "Open connections of callers", open);
+    }
+
+    fn observe_caller_memory(&self, memory: &CallerMemory) {
+        self.body_bytes.set(memory.bodies.used_bytes() as i64);
+        let evictions = memory.bodies.eviction_count();
+        self.body_evictions
+            .inner()
+            .store(evictions, Ordering::Relaxed);
+        let closed = memory.connections.closed_count();
+        self.connections_closed
+            .inner()
+            .store(closed, Ordering::Relaxed);
+        self.open_connections
+            .set(memory.connections.open_count() as i64);
+    }
+
     /// Counts a completed request and observes its total time.
     pub(crate) fn record_end(&self, route: &RouteSpec, outcome: &str, total_ms: u64) {
         let labels = RequestLabels {
@@ -210,6 +310,30 @@
         self.total_ms.observe(total_ms as f64);
     }
 
+    /// Replaces the numbers of waiting requests that can still be on time.
+    fn record_waiting(&self, by_priority: BTreeMap<u32, u32>) {
+        self.waiting_on_time.clear();
+        for (priority, waiting) in by_priority {
+            let labels = PriorityLabels { priority };
+            let gauge = self.waiting_on_time.get_or_create(&labels);
+            gauge.set(i64::from(waiting));
+        }
+    }
+
+    /// Sets the use of a model's slots.
+    pub(crate) fn record_model_use(&self, service: &str, model: &str, used: f64) {
+        let labels = ModelLabels {
+            service: service.to_owned(),
+            model: model.to_owned(),
+        };
+        self.model_use.get_or_create(&labels).set(used);
+    }
+
+    /// Removes the use of all models, which only the placer measures.
+    pub(crate) fn clear_model_use(&self) {
+        self.model_use.clear();
+    }
+
     /// Counts a call to the platform or to an engine.
     pub(crate) fn record_call(&self, call: &str, result: &str) {
         let labels = CallLabels {
@@ -236,7 +360,9 @@
     async fn handle(&self, _request: Request<Incoming>) -> Response<ReplyBody> {
         let metrics = &self.core.metrics;
         let view = self.core.fleet.view();
+        metrics.observe_caller_memory(&self.core.caller_memory);
         metrics.waiting.set(self.core.queue.len() as i64);
+        metrics.record_waiting(self.core.pool_activity.waiting_by_priority(Instant::now()));
         metrics
             .serving_targets
             .set(view.targets.iter().count() as i64);
@@ -244,6 +370,16 @@
             .registry_confirmed_at
             .map(|at| at.elapsed().as_millis() as i64);
         metrics.registry_age_ms.set(age.unwrap_or(-1));
+        let members = self.core.digests.member_count();
+        metrics.hub_members.set(members as i64);
+        let age = {
+            let loads = self.core.loads.lock().expect("load lock");
+            loads.oldest_report(Instant::now())
+        };
+        let age = age.map(|age| age.as_millis() as i64);
+        metrics.digest_age_ms.set(age.unwrap_or(-1));
+        let paced = self.core.paces.lock().expect("pace lock").reduced_count();
+        metrics.paced_targets.set(paced as i64);
         let mut text = String::new();
         let mut response = match encode(&mut text, &metrics.registry) {
             Ok(()) => Response::new(full_body(text)),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,12 +5,16 @@
 //! the traits of [`jujuberoad_node::backends`]; the decision logic is in
 //! [`jujuberoad`].
 
+mod body_memory;
 mod boot_clock;
 mod bounded_body;
 mod buffered_call;
 mod call_deadline;
 mod caller_api;
+mod caller_memory;
 mod caller_request;
+mod demand_sampler;
+mod digest_exchange;
 mod endpoint_call;
 mod endpoint_guard;
 mod era_watch;
@@ -26,11 +30,14 @@
 mod local_reply;
 mod lock_sink;
 mod operator_sink;
+mod ordered_reserve;
 mod outage_clock;
+mod overload_mode;
 mod path_watch;
 mod peer_exchange;
 mod placer_loop;
 mod poison_guard;
+mod pool_board;
 mod readiness_api;
 mod registry_sink;
 mod relay_api;
@@ -44,6 +51,7 @@
 mod router_sink;
 mod run_count;
 mod run_watch;
+mod segmented_buffer;
 mod silence_probe;
 mod silence_watch;
 mod slot_queue;
@@ -58,8 +66,11 @@
 mod stream_end;
 mod stream_guard;
 mod stream_relay;
+mod target_paces;
+mod version_notes;
 
 pub use gateway_backends::GatewayBackends;
 pub use gateway_daemon::run_gateway;
 pub use gateway_error::GatewayError;
 pub use gateway_settings::GatewaySettings;
+pub use overload_mode::OverloadMode;
--- a/lib/src/fleet/mod.rs
+++ b/lib/src/fleet/mod.rs
@@ -6,6 +6,11 @@
 
 mod avoid_list;
 mod delta_step;
+mod demand;
+mod digest_planner;
+mod digest_round;
+mod digest_sum;
+mod digest_tick;
 mod endpoint_record;
 mod endpoint_state;
 mod endpoint_table;
@@ -48,6 +53,19 @@
 
 pub use avoid_list::AvoidList;
 pub use delta_step::DeltaStep;
+pub use demand::ConversionNote;
+pub use demand::ConversionStep;
+pub use demand::DemandMonitor;
+pub use demand::ModelShortage;
+pub use demand::PoolDemand;
+pub use demand::PoolSample;
+pub use digest_planner::DigestPlanner;
+pub use digest_round::DigestRound;
+pub use digest_sum::DigestSum;
+pub use digest_sum::OutcomeSums;
+pub use digest_tick::DigestInput;
+pub use digest_tick::DigestSend;
+pub use digest_tick::DigestTick;
 pub use endpoint_record::EndpointRecord;
 pub use endpoint_state::EndpointState;
 pub use endpoint_table::EndpointTable;
--- a/lib/tests/testutils/mod.rs
+++ b/lib/tests/testutils/mod.rs
@@ -3,8 +3,11 @@
 
 pub mod choice_sim;
 pub mod claim_sim;
+pub mod digest_sim;
 pub mod fleet_files;
 pub mod limit_sim;
+pub mod overload_plan;
+pub mod overload_sim;
 pub mod poison_sim;
 pub mod slot_sim;
 pub mod view_sim;
@@ -34,4 +37,5 @@
 pub fn once_in(u: &mut Unstructured<'_>, odds: u32) -> arbitrary::Result<bool> {
     Ok(!u.is_empty() && u.int_in_range(1..=odds)? == odds)
 }
+pub mod pace_sim;
 pub mod replica_sim;
