--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -56,7 +56,8 @@
     record: Arc<Record>,
     arrivals: Arrivals,
     born: u128,
-    started_ms: u64,
+    /// Until when it is cold, by the clock of the record.
+    cold_until_ms: AtomicU64,
     sequence: AtomicU64,
     is_listed: AtomicBool,
     is_gone: AtomicBool,
@@ -76,6 +77,7 @@
         heartbeat: Duration,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((plan.ip.as_str(), plan.port))?;
+        let plan_cold_ms = plan.cold_ms;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis());
         let worker = Arc::new(Self {
             address: listener.local_addr()?,
@@ -84,7 +86,7 @@
             record: Arc::clone(record),
             arrivals: Arc::clone(arrivals),
             born,
-            started_ms: record.now_ms(),
+            cold_until_ms: AtomicU64::new(record.now_ms() + plan_cold_ms),
             sequence: AtomicU64::new(0),
             is_listed: AtomicBool::new(true),
             is_gone: AtomicBool::new(false),
@@ -126,7 +128,8 @@
     fn beat(&self, state: &str) {
         let plan = &self.plan;
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
-        let cold_ms = (self.started_ms + plan.cold_ms).saturating_sub(self.record.now_ms());
+        let cold_until_ms = self.cold_until_ms.load(Ordering::SeqCst);
+        let cold_ms = cold_until_ms.saturating_sub(self.record.now_ms());
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":{},\"state\":\"{state}\",\"coldRemainingMs\":{cold_ms},\"born\":{},\
@@ -218,6 +221,14 @@
 }
 
 impl Worker {
+    /// Turns the worker cold for `cold_ms` and writes its entry at once; returns when.
+    pub fn turn_cold(&self, cold_ms: u64) -> u64 {
+        let now_ms = self.record.now_ms();
+        self.cold_until_ms.store(now_ms + cold_ms, Ordering::SeqCst);
+        self.beat("ready");
+        now_ms
+    }
+
     /// Ends the worker at once; its entry stays until somebody removes it.
     pub fn crash(&self) {
         self.is_listed.store(false, Ordering::SeqCst);
