gateway: entries under invalid names name no endpoint

Requests went to addresses that stand in the registry under names that no endpoint has: with a blank, &, +, #, %, a line end, or letters beyond ASCII. They belong to another writer, whose entry names no worker to use.

Cause: what follows the prefix of a key was taken for the name of an endpoint, whatever it was. Such a name can be no header either, so that requests went out without the instance that they expect.

Change: `check_endpoint_name` of `lib` says which names an endpoint has: ASCII letters, digits and `-._~:@`, with a letter or digit among them. Entries that are read, watched or relayed by a peer under another name are left out with a line `damaged`, and are not relayed. Colons and @ are allowed, as names made of addresses have them. Length is bounded by the store.

--- a/gateway/src/peer_exchange.rs
+++ b/gateway/src/peer_exchange.rs
@@ -321,6 +321,7 @@
                 let as_of = delta.to;
                 let changes: Vec<_> = delta
                     .changes_after(known)
+                    .filter(|change| registry_sink::is_endpoint_name(core, &change.endpoint))
                     .map(|change| (change.endpoint.clone(), change.into_record(now)))
                     .collect();
                 // The state is as old as the message.
--- a/gateway/src/registry_sink.rs
+++ b/gateway/src/registry_sink.rs
@@ -10,6 +10,7 @@
 use futures_lite::FutureExt;
 use jujuberoad::fleet::EndpointRecord;
 use jujuberoad::fleet::RegistryChange;
+use jujuberoad::fleet::check_endpoint_name;
 use jujuberoad::ids::EndpointId;
 use jujuberoad::ids::StoreVersion;
 use jujuberoad_node::backends::StoreEvent;
@@ -80,12 +81,12 @@
     }
 
     fn decode(&self, core: &GatewayCore, item: &StoredItem) -> Option<EndpointRecord> {
-        let id: EndpointId = core.backends.dialect.endpoint_of_key(&item.key)?;
-        match core
-            .backends
-            .dialect
-            .decode_endpoint(&id, &item.value, Instant::now())
-        {
+        let dialect = &core.backends.dialect;
+        let id: EndpointId = dialect.endpoint_of_key(&item.key)?;
+        if !is_endpoint_name(core, &id) {
+            return None;
+        }
+        match dialect.decode_endpoint(&id, &item.value, Instant::now()) {
             Ok(record) => Some(record),
             Err(error) => {
                 core.log.write(
@@ -170,7 +171,8 @@
                 StoreEvent::Written(item) => (item.key.clone(), self.decode(core, &item)),
                 StoreEvent::Deleted { key, .. } => (key, None),
             };
-            if let Some(id) = core.backends.dialect.endpoint_of_key(&key) {
+            let id = core.backends.dialect.endpoint_of_key(&key);
+            if let Some(id) = id.filter(|id| check_endpoint_name(id).is_ok()) {
                 changes.push(RegistryChange::new(version, id, record, now));
             }
         }
@@ -262,6 +264,18 @@
     is_missing && has_traffic && now >= confirmed_at + GAP_READ_INTERVAL
 }
 
+/// Returns whether an entry under this name may name an endpoint; logs why it does not.
+pub(crate) fn is_endpoint_name(core: &GatewayCore, name: &str) -> bool {
+    let Err(error) = check_endpoint_name(name) else {
+        return true;
+    };
+    core.log.write(
+        LogKind::Damaged,
+        json!({"what": "endpoint name", "name": name, "reason": error.to_string()}),
+    );
+    false
+}
+
 /// Applies changes of registry entries that the store has confirmed at `confirmed_at`.
 pub(crate) fn apply_changes(
     core: &Arc<GatewayCore>,
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -30,6 +30,7 @@
 use jujuberoad::fleet::StallDetector;
 use jujuberoad::fleet::TargetPicker;
 use jujuberoad::fleet::TargetTable;
+use jujuberoad::fleet::check_endpoint_name;
 use jujuberoad::ids::RouterId;
 use jujuberoad::serving::EngineProfile;
 use jujuberoad::serving::ServiceProfile;
@@ -546,3 +547,40 @@
     assert_eq!(list.endpoints(now).len(), 2);
     assert!(list.endpoints(until).is_empty());
 }
+
+/// Guards against endpoints whose names change on their way through URLs, headers or logs, and
+/// against sound ones that are left out.
+#[test]
+fn endpoint_names_are_checked() {
+    let longest = "n".repeat(200);
+    let sound = [
+        "i-7f3a91c2",
+        "I_1.b-2~c",
+        "7",
+        "host.example:8080",
+        "worker@host",
+        &longest,
+    ];
+    for name in sound {
+        assert_eq!(check_endpoint_name(name), Ok(()), "{name:?}");
+    }
+    let invalid = [
+        "", "..", "-", "i-1/2", "i 1", "i+1", "i&1", "i\n", "i\0", "\u{e9}1",
+    ];
+    let reasons = invalid.map(|name| match check_endpoint_name(name) {
+        Ok(()) => format!("{name:?}: sound"),
+        Err(error) => format!("{name:?}: {error}"),
+    });
+    assert_snapshot!(reasons.join("\n"), @r#"
+    "": the name has neither a letter nor a digit
+    "..": the name has neither a letter nor a digit
+    "-": the name has neither a letter nor a digit
+    "i-1/2": the name has the character '/'
+    "i 1": the name has the character ' '
+    "i+1": the name has the character '+'
+    "i&1": the name has the character '&'
+    "i\n": the name has the character '\n'
+    "i\0": the name has the character '\0'
+    "é1": the name has the character 'é'
+    "#);
+}
