platform: an item that cannot be read hides no others

Not seen by callers: found by checking what else one entry can stop. If the store gave one item that cannot be read, a router read none of its list, configuration or watch, and a failed transaction looked like one that may have run. Which key an item belongs to made no difference. A store as in `PROTOCOL.md` gives no such items, whatever another writer stores, as it encodes values itself; only a faulty one does.

Cause: the items of an answer were decoded as one value, and an error in the text of one item was an error of the call.

Change: each item is decoded by itself. Those that cannot be read are left out, and an item whose value is no base64 has an empty value, which names no endpoint and no configuration; one line `damaged` an answer says how many and why.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -219,6 +219,7 @@
     let result = read.await;
     core.record_store_result(&result);
     let range = count_call(core, "read", result).map_err(FollowError::Read)?;
+    log_unreadable(core, &prefix, &range.unreadable);
     let mut as_of = range.as_of;
     if health.is_unavailable {
         core.log.write(
@@ -261,6 +262,7 @@
         };
         is_renewal = false;
         let answer = count_call(core, "watch", result).map_err(FollowError::Watch)?;
+        log_unreadable(core, &prefix, &answer.unreadable);
         health.confirmed_at = Some(Instant::now());
         as_of = answer.as_of.max(as_of);
         let may_be_cut = answer.may_be_cut();
@@ -305,6 +307,17 @@
     restored.or(outdated).or(watch).await
 }
 
+/// Logs what is wrong with the first of the items below `prefix` that cannot be read.
+fn log_unreadable(core: &GatewayCore, prefix: &str, reasons: &[String]) {
+    let Some(reason) = reasons.first() else {
+        return;
+    };
+    core.log.write(
+        LogKind::Damaged,
+        json!({"what": prefix, "items": reasons.len(), "reason": reason}),
+    );
+}
+
 fn count_call<T>(
     core: &GatewayCore,
     call: &str,
--- a/node/src/backends/stored_range.rs
+++ b/node/src/backends/stored_range.rs
@@ -24,6 +24,8 @@
     pub items: Vec<StoredItem>,
     /// Version of the store after which to watch for changes.
     pub as_of: StoreVersion,
+    /// What is wrong with items that cannot be read. They are left out, or have an empty value.
+    pub unreadable: Vec<String>,
 }
 
 /// A change of one key.
@@ -62,6 +64,8 @@
     pub events: Vec<StoreEvent>,
     /// Version after which to continue the watch. The store may have newer changes already.
     pub as_of: StoreVersion,
+    /// What is wrong with changes that cannot be read. They are left out, or have an empty value.
+    pub unreadable: Vec<String>,
 }
 
 impl StoreEvents {
