platform: large entries do not make a list of the store unreadable

Callers would be refused by routers that start while another writer's entries stand in the list of endpoints and have 16 MiB together, such as 17 entries of 1 MB, the largest value that the store takes. Found by checking what else entries can do to a start.

Cause: the read of a range gave up as a whole when it was longer than 16 MiB, a bound that protects the memory of the process.

Entries of endpoints are of a few KB, so that those of other writers go first. The bound on what is kept stays, counting keys and reasons; a range whose keys alone exceed it is an error as before.

Ruled out: a larger bound, which only moves the number of entries; a bound for each value, as the configuration may have 1 MB.

--- a/node/src/backends/stored_range.rs
+++ b/node/src/backends/stored_range.rs
@@ -28,6 +28,34 @@
     pub unreadable: Vec<String>,
 }
 
+impl StoredRange {
+    /// Empties the largest values until the range has at most `max_bytes`, so that a few large
+    /// values do not cost the others; returns whether that was enough.
+    pub fn leave_out_largest(&mut self, max_bytes: usize) -> bool {
+        let item_sizes = self
+            .items
+            .iter()
+            .map(|item| item.key.len() + item.value.len());
+        let reason_sizes = self.unreadable.iter().map(String::len);
+        let mut byte_count: usize = item_sizes.chain(reason_sizes).sum();
+        while byte_count > max_bytes {
+            let largest = self.items.iter_mut().max_by_key(|item| item.value.len());
+            let Some(item) = largest.filter(|item| !item.value.is_empty()) else {
+                return false;
+            };
+            let value = std::mem::take(&mut item.value);
+            let reason = format!(
+                "value of key {:?}: its {} bytes are the most in a range of over {max_bytes}",
+                item.key,
+                value.len()
+            );
+            byte_count = byte_count - value.len() + reason.len();
+            self.unreadable.push(reason);
+        }
+        true
+    }
+}
+
 /// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreEvent {
