--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -eu
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-3"
-for name in cold drill lost relay; do
+for name in cold drill lost marks relay; do
     rustc --edition 2024 -O -o "$root/target/review-3/$name" "$root/review/standins-3/$name.rs"
 done
